--- /dev/null
+++ b/cmd/drill/main.go
@@ -0,0 +1,151 @@
+// Command drill hosts governors on the bench's wire: frames come in on standard input, replies go out on
+// standard output. It hands events to the module and writes down its orders; it decides nothing.
+package main
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+
+	"peppervale/decide"
+	"peppervale/fleet"
+	"peppervale/simwire"
+)
+
+// instance is one governor with the orders that it has given in this batch.
+type instance struct {
+	number   uint16
+	governor *decide.Governor
+	reply    *simwire.Reply
+	touched  bool
+}
+
+func main() {
+	if err := run(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "drill:", err)
+		os.Exit(1)
+	}
+}
+
+func run(in io.Reader, out io.Writer) error {
+	r, w := bufio.NewReaderSize(in, 1<<16), bufio.NewWriterSize(out, 1<<16)
+	instances := map[uint16]*instance{}
+	for {
+		b, err := simwire.Read(r)
+		if errors.Is(err, io.EOF) {
+			return nil
+		} else if err != nil {
+			return err
+		}
+		reply, err := answer(instances, b)
+		if err != nil {
+			return err
+		}
+		if _, err := w.Write(reply.Frame(b.Number)); err != nil {
+			return err
+		}
+		if err := w.Flush(); err != nil {
+			return err
+		}
+	}
+}
+
+func answer(instances map[uint16]*instance, b *simwire.Batch) (*simwire.Reply, error) {
+	var order []*instance
+	var current *instance
+	for _, e := range b.Events() {
+		if e.Code() == simwire.CodeTarget {
+			current = instances[e.Target()]
+			if current == nil {
+				current = &instance{number: e.Target(), reply: &simwire.Reply{}}
+				instances[e.Target()] = current
+			}
+			if !current.touched {
+				current.touched = true
+				order = append(order, current)
+			}
+			continue
+		}
+		if current == nil {
+			continue
+		}
+		if err := current.guard(func() error { return current.take(e, b.Clock) }); err != nil {
+			return nil, err
+		}
+	}
+	all := &simwire.Reply{}
+	for _, inst := range order {
+		_ = inst.guard(func() error {
+			if inst.governor != nil {
+				inst.governor.Settle(b.Clock)
+			}
+			return nil
+		})
+		if !inst.reply.Empty() {
+			all.OnBehalf(inst.number)
+			all.Append(inst.reply)
+		}
+		*inst.reply, inst.touched = simwire.Reply{}, false
+	}
+	return all, nil
+}
+
+// guard turns a panic of the module into an Exception for that instance.
+func (inst *instance) guard(f func() error) error {
+	defer func() {
+		if cause := recover(); cause != nil {
+			inst.reply.Exception(fmt.Sprint("panic: ", cause))
+			inst.governor = nil
+		}
+	}()
+	return f()
+}
+
+func (inst *instance) take(e simwire.Event, now fleet.Micros) error {
+	if e.Code() == simwire.CodeHello {
+		seed, text, err := e.Hello()
+		if err != nil {
+			return err
+		}
+		terms, err := simwire.Terms(text)
+		if err != nil {
+			inst.governor = nil
+			inst.reply.Exception(err.Error())
+			return nil
+		}
+		inst.governor = decide.New(terms, seed, inst.reply, now)
+		return nil
+	}
+	if e.Code() == simwire.CodeRosterChange {
+		scope, entries, err := e.RosterChange()
+		if err == nil && inst.governor != nil {
+			inst.governor.Listed(now, scope, entries)
+		}
+		return err
+	}
+	g := inst.governor
+	if g == nil {
+		return nil
+	}
+	switch e.Code() {
+	case simwire.CodeKill:
+		inst.governor = nil
+	case simwire.CodeBell:
+		g.Rang(now, e.Token())
+	case simwire.CodeDialledIn:
+		p, zone, standing := e.DialledIn()
+		g.Joined(now, p, zone, standing)
+	case simwire.CodeDisconnected:
+		g.Left(now, e.Left())
+	case simwire.CodeTookEffect:
+		p, number := e.TookEffect()
+		g.Applied(now, p, number)
+	case simwire.CodeRoundup:
+		g.Heard(now, e.Roundup())
+	case simwire.CodeOfferedLoad:
+		g.Offered(now, e.OfferedLoad())
+	}
+	return nil
+}
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,147 @@
+// Package fleet is the interface between a governor and whatever hosts it: what the host reports (plain
+// values), the start settings that the governor reads (Terms), and the orders that a host carries out (Host).
+package fleet
+
+// Micros is a time or a span in whole microseconds.
+type Micros int64
+
+const (
+	Millisecond Micros = 1000
+	Second             = 1000 * Millisecond
+)
+
+// ReplicaID is a replica's address and port as the list gives them; it is returned untouched.
+type ReplicaID struct {
+	Addr [4]byte
+	Port uint16
+}
+
+// ProxyID and TableID are numbers that stand on the wire.
+type (
+	ProxyID uint16
+	TableID uint16
+)
+
+// Everywhere addresses all joined proxies in Host.Level.
+const Everywhere TableID = 65535
+
+// Repeat says what running an invocation a second time would do.
+type Repeat int
+
+const (
+	Idempotent Repeat = iota
+	Fingerprinted
+	SideEffecting
+)
+
+// Group says which replicas drop a repeat of a fingerprinted invocation among themselves.
+type Group int
+
+const (
+	GroupAll Group = iota
+	GroupZone
+	GroupCell
+)
+
+// Way says when a proxy tries another replica.
+type Way uint8
+
+const (
+	Never      Way = iota // no further try
+	WhenUnrun             // one more, after proof that the first never ran
+	AnyFailure            // one more after any failure
+	TwoMore               // two more after any failure
+)
+
+// Operation is one kind of invocation.
+type Operation struct {
+	Objective Micros  // latency objective
+	Timeout   Micros  // integration timeout
+	Value     float64 // billed value
+	Repeat    Repeat
+	Group     Group
+	Window    Micros // how long the group remembers
+	OwnZone   bool   // only replicas of the proxy's zone may serve it
+}
+
+// Terms holds the start settings that the governor reads.
+type Terms struct {
+	Operations   []Operation
+	Zones        int
+	Subscribe    bool // the list answers only those who ask
+	Admits       bool // proxies honour an admitted share
+	BaseWay      Way  // how proxies repeat where nothing is ordered
+	FirstWait    float64
+	StandingSize int // most lines of a proxy's standing table
+	Period       Micros
+	Overhead     int // lines that a message costs beyond its own
+	QueueMost    int // lines that may wait in the channel
+	LineRate     float64
+	MessagesMost int // messages to one proxy within MessagesSpan; 0: no limit
+	MessagesSpan Micros
+	CrossPrice   float64
+	Grace        Micros // in which sending to a drained replica must stop
+	Cold         Micros // within which a started replica is warm
+	Bare         Micros
+}
+
+// Life is what the list says of a replica.
+type Life uint8
+
+const (
+	Gone Life = iota
+	Ready
+	Draining
+)
+
+// Listing is one entry of the list.
+type Listing struct {
+	ID    ReplicaID
+	Zone  int
+	Cell  int
+	Life  Life
+	Size  float64
+	Since Micros // when it last started; 0: long ago
+}
+
+// Scope says what kind of news from the list this is.
+type Scope uint8
+
+const (
+	Whole  Scope = iota // the complete list
+	Change              // changed entries only
+	Cached              // the complete list as last held, maybe stale
+	Failed              // a call failed; no entries
+)
+
+// Sum is what the joined proxies of a zone met at a replica over a span.
+type Sum struct {
+	Zone    int
+	Replica ReplicaID
+	Tries   int
+	Errored int
+	Latency Micros // mean of the good ones; 0 if none
+	Span    Micros
+}
+
+// Demand is what came to a proxy of one operation over a span.
+type Demand struct {
+	Proxy       ProxyID
+	Operation   int
+	Invocations int
+	Unanswered  int
+	Span        Micros
+}
+
+// Host carries out a governor's orders. All orders given between two calls of Governor.Settle leave as one
+// message for each proxy concerned.
+type Host interface {
+	Assign(t TableID, r ReplicaID, weight float64) // one table line; 0 removes it
+	Bind(p ProxyID, t TableID, operations uint16)  // put a proxy on a table
+	Withdraw(r ReplicaID, out bool)                // shut a replica out of every table, or let it back
+	Level(t TableID, operations uint16, share float64, w Way)
+	Receipt(number uint32) // ask the proxies reached for an answer
+	Wake(after Micros, token uint64)
+	Follow() // subscribe to the list
+	Log(text string)
+}
--- /dev/null
+++ b/simwire/simwire.go
@@ -0,0 +1,259 @@
+// Package simwire reads and writes the bench's binary frames and decodes its start settings.
+package simwire
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+
+	"peppervale/fleet"
+)
+
+const (
+	eventSize   = 56
+	orderSize   = 24
+	listingSize = 24
+	frameMost   = 1 << 28
+)
+
+// Event codes of a batch.
+const (
+	CodeTarget       = 2
+	CodeHello        = 3
+	CodeRosterChange = 7
+	CodeTookEffect   = 8
+	CodeDialledIn    = 13
+	CodeRoundup      = 6
+	CodeDisconnected = 14
+	CodeKill         = 12
+	CodeBell         = 9
+	CodeOfferedLoad  = 10
+)
+
+var le = binary.LittleEndian
+
+// Batch is one frame of events.
+type Batch struct {
+	Clock  fleet.Micros
+	Number uint32
+	body   []byte
+	tail   []byte
+}
+
+// Read takes one frame; io.EOF means that input ended between frames.
+func Read(r *bufio.Reader) (*Batch, error) {
+	var head [20]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		if errors.Is(err, io.ErrUnexpectedEOF) {
+			return nil, errors.New("frame header cut short")
+		}
+		return nil, err
+	}
+	count, length := int64(le.Uint32(head[0:])), int64(le.Uint32(head[4:]))
+	if length < 12 || length > frameMost || count*eventSize > length-12 {
+		return nil, fmt.Errorf("%d records do not fit a frame of %d bytes", count, length)
+	}
+	body := make([]byte, length-12)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return nil, fmt.Errorf("frame of %d bytes cut short", length)
+	}
+	return &Batch{
+		Clock:  millis(head[8:]),
+		Number: le.Uint32(head[16:]),
+		body:   body[:count*eventSize],
+		tail:   body[count*eventSize:],
+	}, nil
+}
+
+// Events gives the batch's records in order.
+func (b *Batch) Events() []Event {
+	events := make([]Event, 0, len(b.body)/eventSize)
+	for at := 0; at < len(b.body); at += eventSize {
+		events = append(events, Event{rec: b.body[at : at+eventSize], tail: b.tail})
+	}
+	return events
+}
+
+// Event is one record of a batch.
+type Event struct {
+	rec, tail []byte
+}
+
+func (e Event) Code() byte          { return e.rec[0] }
+func (e Event) Target() uint16      { return le.Uint16(e.rec[1:]) }
+func (e Event) Token() uint64       { return le.Uint64(e.rec[1:]) }
+func (e Event) Left() fleet.ProxyID { return fleet.ProxyID(le.Uint16(e.rec[1:])) }
+
+func (e Event) slice(at, unit int) ([]byte, error) {
+	from, n := uint64(le.Uint32(e.rec[at:])), uint64(le.Uint32(e.rec[at+4:]))*uint64(unit)
+	if from+n > uint64(len(e.tail)) {
+		return nil, fmt.Errorf("record %d points at %d+%d in a tail of %d bytes", e.rec[0], from, n, len(e.tail))
+	}
+	return e.tail[from : from+n], nil
+}
+
+// Hello gives the seed and the start settings as JSON text.
+func (e Event) Hello() (uint64, []byte, error) {
+	text, err := e.slice(9, 1)
+	return le.Uint64(e.rec[1:]), text, err
+}
+
+var scopes = []fleet.Scope{fleet.Whole, fleet.Change, fleet.Cached, fleet.Failed}
+
+// RosterChange gives news of the list.
+func (e Event) RosterChange() (fleet.Scope, []fleet.Listing, error) {
+	if int(e.rec[1]) >= len(scopes) {
+		return 0, nil, fmt.Errorf("list scope %d", e.rec[1])
+	}
+	text, err := e.slice(6, listingSize)
+	var entries []fleet.Listing
+	for ; len(text) >= listingSize; text = text[listingSize:] {
+		entries = append(entries, fleet.Listing{
+			ID: replica(text), Zone: int(le.Uint16(text[6:])), Cell: int(le.Uint16(text[9:])),
+			Life: fleet.Life(text[11]), Size: single(text[12:]), Since: millis(text[16:]),
+		})
+	}
+	return scopes[e.rec[1]], entries, err
+}
+
+// TookEffect gives the proxy and the number of the receipt.
+func (e Event) TookEffect() (fleet.ProxyID, uint32) {
+	return fleet.ProxyID(le.Uint16(e.rec[1:])), le.Uint32(e.rec[3:])
+}
+
+// DialledIn gives the proxy, its zone and whether it holds only its standing tables.
+func (e Event) DialledIn() (p fleet.ProxyID, zone int, standing bool) {
+	return fleet.ProxyID(le.Uint16(e.rec[8:])), int(le.Uint16(e.rec[1:])), e.rec[3] != 0
+}
+
+// Roundup gives what a zone's proxies met at a replica.
+func (e Event) Roundup() fleet.Sum {
+	return fleet.Sum{
+		Zone: int(le.Uint16(e.rec[1:])), Replica: replica(e.rec[3:]),
+		Tries: int(le.Uint32(e.rec[9:])), Errored: int(le.Uint32(e.rec[13:])),
+		Latency: millis(e.rec[17:]), Span: millis(e.rec[25:]),
+	}
+}
+
+// OfferedLoad gives what came to a proxy.
+func (e Event) OfferedLoad() fleet.Demand {
+	return fleet.Demand{
+		Proxy: fleet.ProxyID(le.Uint16(e.rec[18:])), Operation: int(e.rec[5]),
+		Invocations: int(le.Uint32(e.rec[1:])), Unanswered: int(le.Uint32(e.rec[14:])), Span: millis(e.rec[6:]),
+	}
+}
+
+// millis reads a time; what is no finite number, or out of all measure, reads as 0.
+func millis(b []byte) fleet.Micros {
+	v := math.Float64frombits(le.Uint64(b)) * 1000
+	if !(math.Abs(v) < 1e15) {
+		return 0
+	}
+	return fleet.Micros(math.Round(v))
+}
+
+func single(b []byte) float64 { return float64(math.Float32frombits(le.Uint32(b))) }
+
+func replica(b []byte) (id fleet.ReplicaID) {
+	copy(id.Addr[:], b)
+	id.Port = le.Uint16(b[4:])
+	return id
+}
+
+// Reply gathers the orders that answer a batch.
+type Reply struct {
+	body, tail []byte
+}
+
+func (r *Reply) record(code byte) []byte {
+	r.body = append(r.body, make([]byte, orderSize)...)
+	rec := r.body[len(r.body)-orderSize:]
+	rec[0] = code
+	return rec
+}
+
+func putReplica(b []byte, id fleet.ReplicaID) {
+	copy(b, id.Addr[:])
+	le.PutUint16(b[4:], id.Port)
+}
+
+func (r *Reply) text(code byte, s string) {
+	rec := r.record(code)
+	le.PutUint32(rec[1:], uint32(len(r.tail)))
+	le.PutUint32(rec[5:], uint32(len(s)))
+	r.tail = append(r.tail, s...)
+}
+
+func (r *Reply) OnBehalf(instance uint16) { le.PutUint16(r.record(12)[1:], instance) }
+func (r *Reply) Exception(cause string)   { r.text(10, cause) }
+
+// Reply carries out a governor's orders by writing them down.
+var _ fleet.Host = (*Reply)(nil)
+
+func (r *Reply) Log(s string) { r.text(5, s) }
+func (r *Reply) Follow()      { r.record(9)[1] = 1 }
+
+func (r *Reply) Assign(t fleet.TableID, id fleet.ReplicaID, weight float64) {
+	rec := r.record(1)
+	le.PutUint16(rec[1:], uint16(t))
+	le.PutUint32(rec[3:], math.Float32bits(float32(weight)))
+	putReplica(rec[7:], id)
+}
+
+func (r *Reply) Bind(p fleet.ProxyID, t fleet.TableID, operations uint16) {
+	rec := r.record(14)
+	le.PutUint16(rec[1:], uint16(p))
+	le.PutUint16(rec[3:], uint16(t))
+	le.PutUint16(rec[5:], operations)
+}
+
+func (r *Reply) Withdraw(id fleet.ReplicaID, out bool) {
+	rec := r.record(11)
+	putReplica(rec[1:], id)
+	if out {
+		rec[7] = 1
+	}
+}
+
+func (r *Reply) Level(t fleet.TableID, operations uint16, share float64, w fleet.Way) {
+	rec := r.record(7)
+	le.PutUint16(rec[1:], uint16(t))
+	le.PutUint16(rec[3:], operations)
+	le.PutUint32(rec[5:], math.Float32bits(float32(share)))
+	rec[9] = byte(w)
+}
+
+func (r *Reply) Receipt(number uint32) { le.PutUint32(r.record(6)[2:], number) }
+
+func (r *Reply) Wake(after fleet.Micros, token uint64) {
+	rec := r.record(13)
+	le.PutUint64(rec[1:], math.Float64bits(float64(after)/1000))
+	le.PutUint64(rec[9:], token)
+}
+
+// Frame gives the reply to the batch of that number.
+func (r *Reply) Frame(number uint32) []byte {
+	head := make([]byte, 12, 12+len(r.body)+len(r.tail))
+	le.PutUint32(head, uint32(8+len(r.body)+len(r.tail)))
+	le.PutUint32(head[4:], uint32(len(r.body)/orderSize))
+	le.PutUint32(head[8:], number)
+	return append(append(head, r.body...), r.tail...)
+}
+
+// Append puts another reply's orders after these.
+func (r *Reply) Append(o *Reply) {
+	from := len(r.body)
+	r.body = append(r.body, o.body...)
+	for at := from; at < len(r.body); at += orderSize {
+		if code := r.body[at]; code == 5 || code == 10 {
+			le.PutUint32(r.body[at+1:], le.Uint32(r.body[at+1:])+uint32(len(r.tail)))
+		}
+	}
+	r.tail = append(r.tail, o.tail...)
+}
+
+// Empty tells whether nothing is ordered.
+func (r *Reply) Empty() bool { return len(r.body) == 0 }
