--- a/decide/decide.go
+++ b/decide/decide.go
@@ -519,6 +519,53 @@
 	if g.gate == open {
 		g.judge()
 	}
+	g.admit()
+}
+
+// admit lets the operation that brings least for its time in less while the whole fleet is late, and more again once
+// it is not. Errors count as half again the objective. It covers any shortage of capacity, whatever took it; it
+// hurts if replicas are slow by nature yet not full.
+func (g *Governor) admit() {
+	if !g.terms.Admits {
+		return
+	}
+	var sum decayed
+	for _, r := range g.replicas {
+		sum.fold(r.brief, math.Inf(1))
+	}
+	var objective float64
+	order := make([]int, len(g.levels))
+	worth := func(i int) float64 { return g.terms.Operations[i].Value / float64(g.terms.Operations[i].Objective) }
+	for i, op := range g.terms.Operations {
+		objective += float64(op.Objective) / float64(len(order))
+		order[i] = i
+	}
+	sort.SliceStable(order, func(i, j int) bool { return worth(order[i]) < worth(order[j]) })
+	stress := (sum.latency/objective + 1.5*sum.errored) / max(sum.tries, 1)
+	// Beyond half of the objective in the mean, the slower part of the answers is late.
+	const high, low, floor = 0.5, 0.4, 0.1
+	if stress > high {
+		for _, i := range order {
+			if l := &g.levels[i]; l.share > floor {
+				l.share = max(floor, l.share*0.85)
+				break
+			}
+		}
+	} else if stress < low {
+		for k := range order {
+			if l := &g.levels[order[len(order)-1-k]]; l.share < 1 {
+				l.share = min(1, l.share+0.05)
+				break
+			}
+		}
+	}
+	for _, l := range g.levels {
+		if math.Abs(l.share-l.told) >= 0.03 && g.fits(g.proxies, len(g.levels), 0.5, 3) {
+			g.sendLevels()
+			g.charge(g.proxies, len(g.levels))
+			break
+		}
+	}
 }
 
 // judge tells replicas that fail, fall quiet or are far slower than the rest. A replica gone silent shows first as
@@ -547,8 +594,8 @@
 		b := r.brief
 		others := (fleetSum.errored - b.errored) / max(fleetSum.tries-b.tries, 1)
 		errs := b.errored / max(b.tries, 1)
-		// Half of the tries, and three times the others' share, on three errors: chance rarely gets there.
-		bad := b.errored >= 3 && errs >= 0.5 && errs >= 3*others
+		// Nine tries in ten, and three times the others' share, on three errors: mere overload rarely gets there.
+		bad := b.errored >= 3 && errs >= 0.9 && errs >= 3*others
 		silent := r.quiet >= 2 && heard*2 > ready-out
 		if (bad || silent) && (out+1)*3 <= ready {
 			out++
@@ -570,9 +617,6 @@
 // begin opens the gate: the first tables hold what was learnt so far.
 func (g *Governor) begin(*Governor) {
 	g.host.Log("gate open")
-	for i := range g.tables {
-		g.lay(i)
-	}
 	g.solvedAt = g.now
 }
 
@@ -597,7 +641,7 @@
 func (g *Governor) target(i int) {
 	t := g.tables[i]
 	// A crossing costs its price for sure, a fuller replica only some lateness: far replicas get less by the price.
-	far := 1 / (1 + 60*g.terms.CrossPrice)
+	far := 1.0
 	// Twenty tries weigh as much as the average does: below that a mean latency says little.
 	const doubt = 20.0
 	var total, caps, priors decayed
@@ -617,7 +661,7 @@
 	}
 	capacity := func(r *replica) float64 {
 		l := r.lines[i].seen
-		if l.span == 0 || r.all.good < 1 || r.all.latency <= 0 {
+		if l.span == 0 || r.all.good < 1 || r.all.latency <= 0 || r.state == easing {
 			return -1
 		}
 		return l.good / l.span * mean / (r.all.latency / r.all.good)
@@ -642,7 +686,13 @@
 		if c := capacity(r); c >= 0 && unit > 0 {
 			l.next = (c/unit*l.seen.tries + prior(r)*doubt) / (l.seen.tries + doubt)
 		}
-		l.next *= g.part(r)
+		if r.state == easing {
+			// What it serves now follows from its part, so only its latency tells of its speed.
+			l.next *= g.part(r)
+			if r.all.good >= 3 {
+				l.next *= min(1, mean/(r.all.latency/r.all.good))
+			}
+		}
 	}
 }
 
@@ -808,6 +858,9 @@
 		}
 	}
 	for i, t := range g.tables {
+		if !t.laid {
+			continue
+		}
 		g.target(i)
 		for _, r := range g.replicas {
 			l := &r.lines[i]
