--- a/decide/decide.go
+++ b/decide/decide.go
@@ -213,6 +213,7 @@
 	solvedAt    fleet.Micros
 	levels      []level
 	demand      decayed
+	stress      float64 // latency of the median replica over the objective
 }
 
 type level struct {
@@ -526,13 +527,6 @@
 // it is not. Errors count as half again the objective. It covers any shortage of capacity, whatever took it; it
 // hurts if replicas are slow by nature yet not full.
 func (g *Governor) admit() {
-	if !g.terms.Admits {
-		return
-	}
-	var sum decayed
-	for _, r := range g.replicas {
-		sum.fold(r.brief, math.Inf(1))
-	}
 	var objective float64
 	order := make([]int, len(g.levels))
 	worth := func(i int) float64 { return g.terms.Operations[i].Value / float64(g.terms.Operations[i].Objective) }
@@ -541,17 +535,30 @@
 		order[i] = i
 	}
 	sort.SliceStable(order, func(i, j int) bool { return worth(order[i]) < worth(order[j]) })
-	stress := (sum.latency/objective + 1.5*sum.errored) / max(sum.tries, 1)
+	var each []float64
+	for _, r := range g.replicas {
+		if b := r.brief; r.member() && b.tries >= 1 {
+			each = append(each, (b.latency/objective+1.5*b.errored)/b.tries)
+		}
+	}
+	if len(each) == 0 {
+		return
+	}
+	sort.Float64s(each)
+	g.stress = each[len(each)/2]
 	// Beyond half of the objective in the mean, the slower part of the answers is late.
 	const high, low, floor = 0.5, 0.4, 0.1
-	if stress > high {
+	if !g.terms.Admits {
+		return
+	}
+	if g.stress > high {
 		for _, i := range order {
 			if l := &g.levels[i]; l.share > floor {
 				l.share = max(floor, l.share*0.85)
 				break
 			}
 		}
-	} else if stress < low {
+	} else if g.stress < low {
 		for k := range order {
 			if l := &g.levels[order[len(order)-1-k]]; l.share < 1 {
 				l.share = min(1, l.share+0.05)
@@ -635,13 +642,39 @@
 	}
 }
 
+// far is what a replica of another zone counts for beside a near one. A crossing costs its price for sure, so far ones
+// start low; the preference gives way as the fleet nears half of its objective, and where the near ones are slower.
+func (g *Governor) far(t *table) float64 {
+	base := 1 / (1 + 60*g.terms.CrossPrice)
+	var near, other decayed
+	full, members := 0.0, 0.0
+	for _, r := range g.replicas {
+		if r.member() {
+			members++
+		}
+		if r.state == serving {
+			full++
+		}
+		if r.member() && r.zone == t.zone {
+			near.fold(r.all, math.Inf(1))
+		} else if r.member() {
+			other.fold(r.all, math.Inf(1))
+		}
+	}
+	if near.good < 1 || other.good < 1 {
+		return base
+	}
+	ratio := near.latency / near.good / max(other.latency/other.good, 1)
+	calm := min(max(2-4*g.stress, 0), 1) * max(0, 1-3*(1-full/max(members, 1)))
+	return min(max(math.Pow(base, calm)*math.Pow(ratio, 4), base), 1)
+}
+
 // target works out a table's weights by the design: capacity is the served rate times the fleet's mean latency over
 // the replica's own. What is little heard counts as average, near replicas above far ones, so that a weight
 // does not feed on the traffic that it drew itself.
 func (g *Governor) target(i int) {
 	t := g.tables[i]
-	// A crossing costs its price for sure, a fuller replica only some lateness: far replicas get less by the price.
-	far := 1.0
+	far := g.far(t)
 	// Twenty tries weigh as much as the average does: below that a mean latency says little.
 	const doubt = 20.0
 	var total, caps, priors decayed
@@ -840,7 +873,7 @@
 
 // solve moves the weights. It keeps to half of the messages that a proxy may get, and to two reports.
 func (g *Governor) solve() {
-	span := 2 * g.terms.Period
+	span := g.terms.Period
 	if g.terms.MessagesMost > 0 {
 		span = max(span, 2*g.terms.MessagesSpan/fleet.Micros(g.terms.MessagesMost))
 	}
