--- a/decide/decide.go
+++ b/decide/decide.go
@@ -100,7 +100,8 @@
 	{serving, drains}:   {draining, (*Governor).leave},
 	{serving, gone}:     {away, (*Governor).leave},
 	{serving, failing}:  {resting, (*Governor).rest},
-	{serving, slow}:     {easing, (*Governor).ease},
+	{serving, slow}:     {easing, (*Governor).slacken},
+	{easing, slow}:      {easing, (*Governor).slacken},
 	{resting, started}:  {easing, (*Governor).ease},
 	{resting, drains}:   {draining, (*Governor).leave},
 	{resting, gone}:     {away, (*Governor).leave},
@@ -152,6 +153,7 @@
 	brief   decayed
 	quiet   int  // reports in a row without a line although some were due
 	late    int  // reports in a row far above the fleet's latency
+	cutDue  bool // its quarter is still to be sent
 	heard   bool // named in a report since our start
 	easedAt fleet.Micros
 	rests   int
@@ -212,8 +214,8 @@
 	foldedAt    fleet.Micros
 	solvedAt    fleet.Micros
 	levels      []level
-	demand      decayed
-	stress      float64 // latency of the median replica over the objective
+	stress      float64 // pace of the median replica
+	admitAt     fleet.Micros
 }
 
 type level struct {
@@ -348,13 +350,18 @@
 	r.rests = 0
 }
 
-// ease starts a replica at a quarter, from its own start if that is what we were told.
+// ease starts a replica at a quarter, knowing nothing of it.
 func (g *Governor) ease(r *replica) {
-	r.easedAt = g.now
+	g.slacken(r)
 	r.all, r.brief, r.quiet, r.late = decayed{}, decayed{}, 0, 0
 	for i := range r.lines {
 		r.lines[i].seen = decayed{}
 	}
+}
+
+// slacken puts a replica back to a quarter; what was learnt of it stays.
+func (g *Governor) slacken(r *replica) {
+	r.easedAt, r.late, r.cutDue = g.now, 0, true
 	g.later(r, easeSpan, eased)
 }
 
@@ -449,8 +456,6 @@
 // Offered takes what came to a proxy.
 func (g *Governor) Offered(now fleet.Micros, d fleet.Demand) {
 	g.now = now
-	g.demand.tries += float64(max(d.Invocations, 0))
-	g.demand.errored += float64(max(d.Unanswered, 0))
 }
 
 // Rang takes the timer.
@@ -472,7 +477,7 @@
 	}
 	if g.sums > 0 && now-g.foldedAt >= g.terms.Period {
 		g.learn()
-		g.foldedAt, g.sums, g.demand = now, 0, decayed{}
+		g.foldedAt, g.sums = now, 0
 	}
 }
 
@@ -517,51 +522,64 @@
 	if !waiting {
 		apply(g, gateMoves, &g.gate, allHeard, g)
 	}
+	g.gauge()
 	if g.gate == open {
 		g.judge()
 	}
 	g.admit()
 }
 
-// admit lets the operation that brings least for its time in less while the whole fleet is late, and more again once
-// it is not. Errors count as half again the objective. It covers any shortage of capacity, whatever took it; it
-// hurts if replicas are slow by nature yet not full.
-func (g *Governor) admit() {
+// pace is the mean time of tries over the objective; an error counts for half again the objective.
+func (g *Governor) pace(d decayed) float64 {
 	var objective float64
-	order := make([]int, len(g.levels))
-	worth := func(i int) float64 { return g.terms.Operations[i].Value / float64(g.terms.Operations[i].Objective) }
-	for i, op := range g.terms.Operations {
-		objective += float64(op.Objective) / float64(len(order))
-		order[i] = i
+	for _, op := range g.terms.Operations {
+		objective += float64(op.Objective) / float64(len(g.levels))
 	}
-	sort.SliceStable(order, func(i, j int) bool { return worth(order[i]) < worth(order[j]) })
-	var each []float64
+	return (d.latency/objective + 1.5*d.errored) / max(d.tries, 1)
+}
+
+// gauge takes the fleet's stress from its median replica, so that a few jammed ones do not count as all.
+func (g *Governor) gauge() {
+	var paces []float64
 	for _, r := range g.replicas {
 		if b := r.brief; r.member() && b.tries >= 1 {
-			each = append(each, (b.latency/objective+1.5*b.errored)/b.tries)
+			paces = append(paces, g.pace(b))
 		}
 	}
-	if len(each) == 0 {
-		return
+	if len(paces) > 0 {
+		sort.Float64s(paces)
+		g.stress = paces[len(paces)/2]
 	}
-	sort.Float64s(each)
-	g.stress = each[len(each)/2]
-	// Beyond half of the objective in the mean, the slower part of the answers is late.
-	const high, low, floor = 0.5, 0.4, 0.1
-	if !g.terms.Admits {
+}
+
+// admit lets the operation that brings least for its time in less while the fleet is late, and more again once it is
+// calm. It covers any shortage of capacity, whatever took it; it hurts if replicas are slow by nature yet not full.
+func (g *Governor) admit() {
+	if !g.terms.Admits || g.now < g.admitAt {
 		return
 	}
+	order := make([]int, len(g.levels))
+	worth := func(i int) float64 { return g.terms.Operations[i].Value / float64(g.terms.Operations[i].Objective) }
+	for i := range order {
+		order[i] = i
+	}
+	sort.SliceStable(order, func(i, j int) bool { return worth(order[i]) < worth(order[j]) })
+	// Beyond half of the objective in the mean, the slower part of the answers is late. What a step does shows in
+	// sums a second or two later: the next cut waits for that, the next rise half as long.
+	const high, low, floor, pause = 0.5, 0.4, 0.1, 2 * fleet.Second
 	if g.stress > high {
 		for _, i := range order {
 			if l := &g.levels[i]; l.share > floor {
-				l.share = max(floor, l.share*0.85)
+				l.share = max(floor, l.share*max(0.6, high/g.stress))
+				g.admitAt = g.now + pause
 				break
 			}
 		}
 	} else if g.stress < low {
 		for k := range order {
 			if l := &g.levels[order[len(order)-1-k]]; l.share < 1 {
-				l.share = min(1, l.share+0.05)
+				l.share = min(1, l.share*1.1+0.02)
+				g.admitAt = g.now + pause/2
 				break
 			}
 		}
@@ -570,7 +588,7 @@
 		if math.Abs(l.share-l.told) >= 0.03 && g.fits(g.proxies, len(g.levels), 0.5, 3) {
 			g.sendLevels()
 			g.charge(g.proxies, len(g.levels))
-			break
+			return
 		}
 	}
 }
@@ -593,7 +611,6 @@
 			}
 		}
 	}
-	mean := fleetSum.latency / max(fleetSum.good, 1)
 	for _, r := range g.replicas {
 		if !r.member() || r.state == resting {
 			continue
@@ -609,13 +626,13 @@
 			g.tell(r, failing)
 			continue
 		}
-		// Three times the fleet's latency in two reports running is beyond what a share of the load explains.
-		if b.good >= 3 && b.latency/b.good > 3*mean {
+		// Three times the median's time in two reports running is beyond what a share of the load explains.
+		if b.tries >= 3 && g.pace(b) > 3*g.stress {
 			r.late++
 		} else {
 			r.late = 0
 		}
-		if r.late >= 2 && g.now-r.easedAt > easeSpan {
+		if r.late >= 2 {
 			g.tell(r, slow)
 		}
 	}
@@ -856,18 +873,20 @@
 
 // cut sends a new quarter at once: a replica that restarted may stand in tables at full weight.
 func (g *Governor) cut() {
+	users := g.users()
 	for _, r := range g.replicas {
-		if r.state != easing || r.easedAt != g.now {
+		if !r.cutDue || !g.fits(users, 1, 0.9, 1) {
 			continue
 		}
+		r.cutDue = false
 		for i := range g.tables {
 			g.target(i)
-			if l := &r.lines[i]; l.next > 0 && l.weight != l.next && g.tables[i].laid {
+			if l := &r.lines[i]; l.next > 0 && l.next != l.weight && g.tables[i].laid {
 				l.weight = l.next
 				g.host.Assign(g.tables[i].id, r.id, l.weight)
 			}
 		}
-		g.charge(g.users(), 1)
+		g.charge(users, 1)
 	}
 }
 
