--- a/decide/decide.go
+++ b/decide/decide.go
@@ -12,7 +12,6 @@
 // Mechanisms beside the design, six at most:
 //  1. near first: the average that stands in for what is little heard favours the proxy's own zone
 //  2. rest: a replica that errs or falls quiet while the others do not is withdrawn and tried again later
-//  3. cut: a replica that is far slower than the fleet starts anew at a quarter
 //  4. levels: the cheapest operation is let in less while the whole fleet is late
 //  5. early bind: a proxy whose standing table may be empty is bound before the gate opens
 //  6. ledger: the queue is bounded by lines not yet acknowledged, messages by the limit for a proxy
@@ -61,7 +60,6 @@
 	drains
 	gone
 	failing
-	slow
 	eased
 	rested
 	turn
@@ -100,8 +98,6 @@
 	{serving, drains}:   {draining, (*Governor).leave},
 	{serving, gone}:     {away, (*Governor).leave},
 	{serving, failing}:  {resting, (*Governor).rest},
-	{serving, slow}:     {easing, (*Governor).slacken},
-	{easing, slow}:      {easing, (*Governor).slacken},
 	{resting, started}:  {easing, (*Governor).ease},
 	{resting, drains}:   {draining, (*Governor).leave},
 	{resting, gone}:     {away, (*Governor).leave},
@@ -152,7 +148,6 @@
 	all     decayed
 	brief   decayed
 	quiet   int  // reports in a row without a line although some were due
-	late    int  // reports in a row far above the fleet's latency
 	cutDue  bool // its quarter is still to be sent
 	heard   bool // named in a report since our start
 	easedAt fleet.Micros
@@ -352,16 +347,11 @@
 
 // ease starts a replica at a quarter, knowing nothing of it.
 func (g *Governor) ease(r *replica) {
-	g.slacken(r)
-	r.all, r.brief, r.quiet, r.late = decayed{}, decayed{}, 0, 0
+	r.easedAt, r.cutDue = g.now, true
+	r.all, r.brief, r.quiet = decayed{}, decayed{}, 0
 	for i := range r.lines {
 		r.lines[i].seen = decayed{}
 	}
-}
-
-// slacken puts a replica back to a quarter; what was learnt of it stays.
-func (g *Governor) slacken(r *replica) {
-	r.easedAt, r.late, r.cutDue = g.now, 0, true
 	g.later(r, easeSpan, eased)
 }
 
@@ -384,11 +374,15 @@
 // member tells whether a replica has lines in our tables.
 func (r *replica) member() bool { return r.state >= easing }
 
+// jammed is the stress from which proxies run from full replicas to whatever still answers: twice the level that
+// sheds.
+const jammed = 1.0
+
 // out tells whether a replica is to be shut out everywhere. While the gate is shut a replica that started lately
 // may stand in standing tables at full weight, which could push it over.
 func (g *Governor) out(r *replica) bool {
 	return !r.member() || r.state == resting ||
-		g.gate == shut && r.state == easing && g.now-r.since < g.terms.Cold
+		(g.gate == shut || g.stress > jammed) && r.state == easing && g.now-r.since < g.terms.Cold
 }
 
 // Joined takes a proxy whose stream is established.
@@ -626,15 +620,6 @@
 			g.tell(r, failing)
 			continue
 		}
-		// Three times the median's time in two reports running is beyond what a share of the load explains.
-		if b.tries >= 3 && g.pace(b) > 3*g.stress {
-			r.late++
-		} else {
-			r.late = 0
-		}
-		if r.late >= 2 {
-			g.tell(r, slow)
-		}
 	}
 }
 
@@ -693,7 +678,7 @@
 	t := g.tables[i]
 	far := g.far(t)
 	// Twenty tries weigh as much as the average does: below that a mean latency says little.
-	const doubt = 20.0
+	const doubt = 10.0
 	var total, caps, priors decayed
 	for _, r := range g.replicas {
 		if r.member() {
@@ -734,7 +719,8 @@
 		}
 		l.next = prior(r)
 		if c := capacity(r); c >= 0 && unit > 0 {
-			l.next = (c/unit*l.seen.tries + prior(r)*doubt) / (l.seen.tries + doubt)
+			c = prior(r) * math.Pow(c/unit/prior(r)*(r.all.latency/r.all.good)/mean, 0.5) * mean / (r.all.latency / r.all.good)
+			l.next = (c*l.seen.tries + prior(r)*doubt) / (l.seen.tries + doubt)
 		}
 		if r.state == easing {
 			// What it serves now follows from its part, so only its latency tells of its speed.
