Shed by the work that replicas report over the room that stays in

Covers any loss of capacity that the list or the reports tell; hurts where reports stay high after work is gone.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -147,6 +147,8 @@
 	lines   []line // by table
 	all     decayed
 	brief   decayed
+	busy    float64 // share of its cores in use, as it last reported
+	busyAt  fleet.Micros
 	quiet   int  // reports in a row without a line although some were due
 	cutDue  bool // its quarter is still to be sent
 	heard   bool // named in a report since our start
@@ -437,6 +439,9 @@
 	}
 	g.sums++
 	r.heard = true
+	if k := g.terms.BusyField; k >= 0 && k < len(s.Report) && s.Report[k] >= 0 {
+		r.busy, r.busyAt = min(s.Report[k], 1), now
+	}
 	good := float64(max(s.Tries-s.Errored, 0))
 	n := decayed{tries: float64(s.Tries), good: good, errored: float64(s.Errored),
 		latency: good * float64(s.Latency), span: float64(s.Span)}
@@ -544,6 +549,20 @@
 		sort.Float64s(paces)
 		g.stress = paces[len(paces)/2]
 	}
+	// Work that is seen on replicas of late, over what the ones that stay in can do: a drain or a cold start shows
+	// here before it shows in latency. At 95% it counts as the level that sheds.
+	var work, room float64
+	for _, r := range g.replicas {
+		if g.now-r.busyAt < 3*fleet.Second {
+			work += r.busy * g.part(r)
+		}
+		if !g.out(r) {
+			room += g.part(r)
+		}
+	}
+	if room > 0 {
+		g.stress = max(g.stress, 0.5*work/room/0.95)
+	}
 }
 
 // admit lets the operation that brings least for its time in less while the fleet is late, and more again once it is
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -80,6 +80,7 @@
 	MessagesMost int // messages to one proxy within MessagesSpan; 0: no limit
 	MessagesSpan Micros
 	CrossPrice   float64
+	BusyField    int    // place in a load report of the share of its cores in use; -1: not reported
 	Grace        Micros // in which sending to a drained replica must stop
 	Cold         Micros // within which a started replica is warm
 	Bare         Micros
@@ -122,6 +123,7 @@
 	Errored int
 	Latency Micros // mean of the good ones; 0 if none
 	Span    Micros
+	Report  []float64 // the replica's newest load report; empty if none came
 }
 
 // Demand is what came to a proxy of one operation over a span.
--- a/simwire/simwire.go
+++ b/simwire/simwire.go
@@ -131,10 +131,14 @@
 
 // Roundup gives what a zone's proxies met at a replica.
 func (e Event) Roundup() fleet.Sum {
+	var report []float64
+	for i := range min(int(e.rec[33]), 4) {
+		report = append(report, single(e.rec[34+4*i:]))
+	}
 	return fleet.Sum{
 		Zone: int(le.Uint16(e.rec[1:])), Replica: replica(e.rec[3:]),
 		Tries: int(le.Uint32(e.rec[9:])), Errored: int(le.Uint32(e.rec[13:])),
-		Latency: millis(e.rec[17:]), Span: millis(e.rec[25:]),
+		Latency: millis(e.rec[17:]), Span: millis(e.rec[25:]), Report: report,
 	}
 }
 
--- a/simwire/terms.go
+++ b/simwire/terms.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 
 	"peppervale/fleet"
 )
@@ -39,6 +40,10 @@
 		Grace float64 `json:"stop_sending_within"`
 		Cold  float64 `json:"cold"`
 	} `json:"guarantees"`
+	Stats struct {
+		Fields []string `json:"fields"`
+		How    string   `json:"how"`
+	} `json:"stats"`
 	Prices struct {
 		CrossZone float64 `json:"cross_zone"`
 	} `json:"prices"`
@@ -79,7 +84,10 @@
 		Period: micros(x.Period), Overhead: int(math.Ceil(x.Overhead)), QueueMost: int(x.PendingMax),
 		LineRate: x.PushRate, MessagesMost: x.MessagesMost, MessagesSpan: micros(x.MessagesSpan),
 		CrossPrice: o.Prices.CrossZone, Grace: micros(o.Guarantees.Grace), Cold: micros(o.Guarantees.Cold),
-		Bare: micros(x.Bare),
+		Bare: micros(x.Bare), BusyField: -1,
+	}
+	if o.Stats.How == "piggyback" {
+		t.BusyField = slices.Index(o.Stats.Fields, "cpu_share")
 	}
 	for i, c := range o.Classes {
 		repeat, ok := repeats[c.Effect]
