--- a/decide/decide.go
+++ b/decide/decide.go
@@ -550,7 +550,7 @@
 		g.stress = paces[len(paces)/2]
 	}
 	// Work that is seen on replicas of late, over what the ones that stay in can do: a drain or a cold start shows
-	// here before it shows in latency. At 95% it counts as the level that sheds.
+	// here before it shows in latency. At 85% it counts as the level that sheds.
 	var work, room float64
 	for _, r := range g.replicas {
 		if g.now-r.busyAt < 3*fleet.Second {
@@ -561,7 +561,7 @@
 		}
 	}
 	if room > 0 {
-		g.stress = max(g.stress, 0.5*work/room/0.95)
+		g.stress = max(g.stress, 0.5*work/room/0.85)
 	}
 }
 
