--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -105,7 +105,7 @@
 
 func (inst *instance) take(e simwire.Event, now fleet.Micros) error {
 	if e.Code() == simwire.CodeHello {
-		seed, text, err := e.Hello()
+		text, err := e.Hello()
 		if err != nil {
 			return err
 		}
@@ -115,7 +115,7 @@
 			inst.reply.Exception(err.Error())
 			return nil
 		}
-		inst.governor = decide.New(terms, seed, inst.reply, now)
+		inst.governor = decide.New(terms, inst.reply, now)
 		return nil
 	}
 	if e.Code() == simwire.CodeRosterChange {
@@ -133,10 +133,10 @@
 	case simwire.CodeKill:
 		inst.governor = nil
 	case simwire.CodeBell:
-		g.Rang(now, e.Token())
+		g.Rang(now)
 	case simwire.CodeDialledIn:
-		p, zone, standing := e.DialledIn()
-		g.Joined(now, p, zone, standing)
+		p, zone := e.DialledIn()
+		g.Joined(now, p, zone)
 	case simwire.CodeDisconnected:
 		g.Left(now, e.Left())
 	case simwire.CodeTookEffect:
@@ -144,8 +144,6 @@
 		g.Applied(now, p, number)
 	case simwire.CodeRoundup:
 		g.Heard(now, e.Roundup())
-	case simwire.CodeOfferedLoad:
-		g.Offered(now, e.OfferedLoad())
 	}
 	return nil
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -25,24 +25,6 @@
 // Everywhere addresses all joined proxies in Host.Level.
 const Everywhere TableID = 65535
 
-// Repeat says what running an invocation a second time would do.
-type Repeat int
-
-const (
-	Idempotent Repeat = iota
-	Fingerprinted
-	SideEffecting
-)
-
-// Group says which replicas drop a repeat of a fingerprinted invocation among themselves.
-type Group int
-
-const (
-	GroupAll Group = iota
-	GroupZone
-	GroupCell
-)
-
 // Way says when a proxy tries another replica.
 type Way uint8
 
@@ -56,12 +38,7 @@
 // Operation is one kind of invocation.
 type Operation struct {
 	Objective Micros  // latency objective
-	Timeout   Micros  // integration timeout
 	Value     float64 // billed value
-	Repeat    Repeat
-	Group     Group
-	Window    Micros // how long the group remembers
-	OwnZone   bool   // only replicas of the proxy's zone may serve it
 }
 
 // Terms holds the start settings that the governor reads.
@@ -70,20 +47,15 @@
 	Zones        int
 	Subscribe    bool // the list answers only those who ask
 	Admits       bool // proxies honour an admitted share
-	BaseWay      Way  // how proxies repeat where nothing is ordered
-	FirstWait    float64
-	StandingSize int // most lines of a proxy's standing table
+	StandingSize int  // most lines of a proxy's standing table
 	Period       Micros
 	Overhead     int // lines that a message costs beyond its own
 	QueueMost    int // lines that may wait in the channel
-	LineRate     float64
 	MessagesMost int // messages to one proxy within MessagesSpan; 0: no limit
 	MessagesSpan Micros
 	CrossPrice   float64
 	BusyField    int    // place in a load report of the share of its cores in use; -1: not reported
-	Grace        Micros // in which sending to a drained replica must stop
 	Cold         Micros // within which a started replica is warm
-	Bare         Micros
 }
 
 // Life is what the list says of a replica.
@@ -99,9 +71,7 @@
 type Listing struct {
 	ID    ReplicaID
 	Zone  int
-	Cell  int
 	Life  Life
-	Size  float64
 	Since Micros // when it last started; 0: long ago
 }
 
@@ -126,20 +96,11 @@
 	Report  []float64 // the replica's newest load report; empty if none came
 }
 
-// Demand is what came to a proxy of one operation over a span.
-type Demand struct {
-	Proxy       ProxyID
-	Operation   int
-	Invocations int
-	Unanswered  int
-	Span        Micros
-}
-
 // Host carries out a governor's orders. All orders given between two calls of Governor.Settle leave as one
 // message for each proxy concerned.
 type Host interface {
 	Assign(t TableID, r ReplicaID, weight float64) // one table line; 0 removes it
-	Bind(p ProxyID, t TableID, operations uint16)  // put a proxy on a table
+	Bind(p ProxyID, t TableID, operations uint16)  // put a proxy on a table; 0: for all operations
 	Withdraw(r ReplicaID, out bool)                // shut a replica out of every table, or let it back
 	Level(t TableID, operations uint16, share float64, w Way)
 	Receipt(number uint32) // ask the proxies reached for an answer
--- a/simwire/simwire.go
+++ b/simwire/simwire.go
@@ -30,7 +30,6 @@
 	CodeDisconnected = 14
 	CodeKill         = 12
 	CodeBell         = 9
-	CodeOfferedLoad  = 10
 )
 
 var le = binary.LittleEndian
@@ -84,7 +83,6 @@
 
 func (e Event) Code() byte          { return e.rec[0] }
 func (e Event) Target() uint16      { return le.Uint16(e.rec[1:]) }
-func (e Event) Token() uint64       { return le.Uint64(e.rec[1:]) }
 func (e Event) Left() fleet.ProxyID { return fleet.ProxyID(le.Uint16(e.rec[1:])) }
 
 func (e Event) slice(at, unit int) ([]byte, error) {
@@ -95,11 +93,8 @@
 	return e.tail[from : from+n], nil
 }
 
-// Hello gives the seed and the start settings as JSON text.
-func (e Event) Hello() (uint64, []byte, error) {
-	text, err := e.slice(9, 1)
-	return le.Uint64(e.rec[1:]), text, err
-}
+// Hello gives the start settings as JSON text.
+func (e Event) Hello() ([]byte, error) { return e.slice(9, 1) }
 
 var scopes = []fleet.Scope{fleet.Whole, fleet.Change, fleet.Cached, fleet.Failed}
 
@@ -112,8 +107,7 @@
 	var entries []fleet.Listing
 	for ; len(text) >= listingSize; text = text[listingSize:] {
 		entries = append(entries, fleet.Listing{
-			ID: replica(text), Zone: int(le.Uint16(text[6:])), Cell: int(le.Uint16(text[9:])),
-			Life: fleet.Life(text[11]), Size: single(text[12:]), Since: millis(text[16:]),
+			ID: replica(text), Zone: int(le.Uint16(text[6:])), Life: fleet.Life(text[11]), Since: millis(text[16:]),
 		})
 	}
 	return scopes[e.rec[1]], entries, err
@@ -124,9 +118,9 @@
 	return fleet.ProxyID(le.Uint16(e.rec[1:])), le.Uint32(e.rec[3:])
 }
 
-// DialledIn gives the proxy, its zone and whether it holds only its standing tables.
-func (e Event) DialledIn() (p fleet.ProxyID, zone int, standing bool) {
-	return fleet.ProxyID(le.Uint16(e.rec[8:])), int(le.Uint16(e.rec[1:])), e.rec[3] != 0
+// DialledIn gives the proxy and its zone.
+func (e Event) DialledIn() (p fleet.ProxyID, zone int) {
+	return fleet.ProxyID(le.Uint16(e.rec[8:])), int(le.Uint16(e.rec[1:]))
 }
 
 // Roundup gives what a zone's proxies met at a replica.
@@ -142,14 +136,6 @@
 	}
 }
 
-// OfferedLoad gives what came to a proxy.
-func (e Event) OfferedLoad() fleet.Demand {
-	return fleet.Demand{
-		Proxy: fleet.ProxyID(le.Uint16(e.rec[18:])), Operation: int(e.rec[5]),
-		Invocations: int(le.Uint32(e.rec[1:])), Unanswered: int(le.Uint32(e.rec[14:])), Span: millis(e.rec[6:]),
-	}
-}
-
 // millis reads a time; what is no finite number, or out of all measure, reads as 0.
 func millis(b []byte) fleet.Micros {
 	v := math.Float64frombits(le.Uint64(b)) * 1000
