--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,12 +1,13 @@
 // Package decide holds every decision of a governor: what its proxies' tables contain, who is bound to them,
 // which replicas are shut out, how much is let in, and when all of that is sent.
 //
-// A caller makes a Governor with New, hands it what it is told (Listed, Joined, Left, Applied, Heard, Rang) and
-// calls Settle once all that came at one moment is in. Orders go out through fleet.Host; package fleet is the
-// whole interface. Nothing else is read: no clock, no names, no other governor.
+// A caller makes a Governor with New, hands it what it is told (Listed, Joined, Left, Applied, Heard, Rang)
+// and calls Settle once all that came at one moment is in. Orders go out through fleet.Host; package fleet
+// is the whole interface. Nothing else is read: no clock, no names, no other governor.
 //
-// Why a replica got its weight: target, then solve. Why a proxy was or was not bound: bindTurn. Why a replica was
-// withdrawn: the rows of replicaMoves, judge for the input "failing", and out. In which order things leave: Settle.
+// Why a replica got its weight: target, then solve. Why a proxy was or was not bound: bindTurn. Why a
+// replica was withdrawn: the rows of replicaMoves, judge for the input "failing", and out. In which order
+// things leave: Settle.
 //
 // Mechanisms beside the design, six at most:
 //  1. near first (far): a replica of another zone counts for less while the fleet is calm
@@ -52,12 +53,12 @@
 }
 
 var replicaMoves = []move[*replica]{
-	{away | draining, listed, serving, (*Governor).enter},
+	{away | draining, listed, serving, (*Governor).settle},
 	{away | draining | member, started, easing, (*Governor).ease},
-	{away | member, drains, draining, (*Governor).leave},
-	{draining | member, gone, away, (*Governor).leave},
+	{away | member, drains, draining, (*Governor).settle},
+	{draining | member, gone, away, (*Governor).settle},
 	{easing | serving, failing, resting, (*Governor).rest},
-	{easing, eased, serving, (*Governor).enter},
+	{easing, eased, serving, (*Governor).settle},
 	{resting, rested, easing, (*Governor).ease},
 }
 
@@ -92,35 +93,29 @@
 }
 
 type replica struct {
-	id             fleet.ReplicaID
-	zone           int
-	state          state
-	since, easedAt fleet.Micros
-	lines          []line // by table
-	all, brief     sums   // of all zones, over about ten reports and two
-	busy           float64
-	busyAt         fleet.Micros
-	quiet, rests   int  // reports in a row without a line though some were due; rests in a row
-	heard          bool // named in a report since our start
-	cutDue         bool // its quarter is still to be sent
-	told           bool // its withdrawal was sent
-	stamp          int  // due times set before it last changed are void
-}
-
-type message struct {
-	number uint32
-	lines  int
+	id                  fleet.ReplicaID
+	zone                int
+	state               state
+	since, easedAt      fleet.Micros
+	lines               []line // by table
+	all, brief          sums   // of all zones, over about ten reports and two
+	busy                float64
+	busyAt              fleet.Micros
+	quiet, rests, stamp int  // reports in a row without a line though some were due; rests in a row; for dueTime
+	heard, cutDue, told bool // named in a report; its quarter is to be sent; its withdrawal was sent
 }
 
 type proxy struct {
-	id      fleet.ProxyID
-	zone    int
-	state   state
-	unacked []message
-	sent    []fleet.Micros
-	lines   int // in the reply being written
+	id          fleet.ProxyID
+	zone, lines int // lines in the reply being written
+	state       state
+	unacked     []message
+	sent        []fleet.Micros
 }
 
+type message struct{ number, lines int }
+
+// dueTime is an input that comes at a set time; a replica's only while its stamp stands.
 type dueTime struct {
 	at    fleet.Micros
 	on    input
@@ -140,11 +135,11 @@
 	byProxy                          map[fleet.ProxyID]*proxy
 	laid                             []bool // tables that stand, one a zone
 	due                              []dueTime
-	unacked, askFails                int
-	receipt                          uint32
+	unacked, askFails, receipt       int
 	renew, beaten, fresh             bool      // a proxy joined; the timer rang; a report came
 	shares, told                     []float64 // let in, by operation; as ordered
-	stress                           float64   // see gauge
+	order                            []int     // operations, the one that brings least for its time first
+	objective, stress                float64   // mean latency objective; see gauge
 }
 
 // New makes a governor, subscribes it to the list and starts its gate's window.
@@ -153,9 +148,12 @@
 	const window = 10 * fleet.Second
 	g := &Governor{terms: t, host: host, now: now, foldedAt: now, gate: shut, byID: map[fleet.ReplicaID]*replica{},
 		byProxy: map[fleet.ProxyID]*proxy{}, laid: make([]bool, t.Zones), told: make([]float64, len(t.Operations))}
-	for range t.Operations {
-		g.shares = append(g.shares, 1)
+	for i, op := range t.Operations {
+		g.shares, g.order = append(g.shares, 1), append(g.order, i)
+		g.objective += float64(op.Objective) / float64(len(t.Operations))
 	}
+	worth := func(i int) float64 { return t.Operations[i].Value / float64(t.Operations[i].Objective) }
+	sort.SliceStable(g.order, func(i, j int) bool { return worth(g.order[i]) < worth(g.order[j]) })
 	g.after(window, dueTime{on: windowOver})
 	if t.Subscribe {
 		host.Follow()
@@ -174,8 +172,7 @@
 	g.due = slices.Insert(g.due, i, d)
 }
 
-// Listed takes news of the list. A list that failed is asked again: at once would add to what made it fail, a few
-// seconds at most keeps drains known.
+// Listed takes news of the list. After a failure it asks again, but not at once: that would add to the cause.
 func (g *Governor) Listed(now fleet.Micros, scope fleet.Scope, entries []fleet.Listing) {
 	g.now = now
 	if scope == fleet.Failed {
@@ -226,12 +223,7 @@
 // easeSpan is the design's default: a newly started replica reaches its full part after it.
 const easeSpan = 30 * fleet.Second
 
-func (g *Governor) leave(r *replica) { r.stamp++ }
-
-func (g *Governor) enter(r *replica) {
-	r.stamp++
-	r.rests = 0
-}
+func (g *Governor) settle(r *replica) { r.stamp, r.rests = r.stamp+1, 0 }
 
 // ease starts a replica at a quarter, knowing nothing of it.
 func (g *Governor) ease(r *replica) {
@@ -243,7 +235,7 @@
 	g.after(easeSpan, dueTime{on: eased, r: r, stamp: r.stamp})
 }
 
-// rest withdraws a replica. Eight seconds outlast most silences short of a restart; each further rest doubles.
+// rest withdraws a replica. Eight seconds outlast most silences short of a restart; further rests double.
 func (g *Governor) rest(r *replica) {
 	r.stamp++
 	g.after(8*fleet.Second<<min(r.rests, 2), dueTime{on: rested, r: r, stamp: r.stamp})
@@ -258,11 +250,12 @@
 	return min(1, 0.25+0.75*float64(g.now-r.easedAt)/float64(easeSpan))
 }
 
-// jammed is the stress from which proxies run from full replicas to whatever still answers: twice what sheds.
-const jammed = 1.0
+// sheds is the stress from which less is let in: with half of the objective in the mean, the slower part is
+// late. Twice that is jammed: proxies run from full replicas to whatever still answers.
+const sheds, jammed = 0.5, 1.0
 
-// out tells whether a replica is to be shut out everywhere. A cold one is while the gate is shut, since it may stand
-// in untold tables at full weight, and in a jam, since proxies that avoid the full ones would all run to it.
+// out tells whether a replica is shut out everywhere. A cold one is while the gate is shut, as it may stand
+// in untold tables at full weight, and in a jam, as proxies that avoid full replicas would all run to it.
 func (g *Governor) out(r *replica) bool {
 	cold := r.state == easing && g.now-r.since < g.terms.Cold
 	return r.state&(easing|serving) == 0 || cold && (g.gate == shut || g.stress > jammed)
@@ -303,7 +296,7 @@
 func (g *Governor) Applied(now fleet.Micros, id fleet.ProxyID, number uint32) {
 	g.now = now
 	if p := g.byProxy[id]; p != nil {
-		g.acknowledge(p, 1+slices.IndexFunc(p.unacked, func(m message) bool { return m.number == number }))
+		g.acknowledge(p, 1+slices.IndexFunc(p.unacked, func(m message) bool { return m.number == int(number) }))
 	}
 }
 
@@ -311,7 +304,8 @@
 func (g *Governor) Heard(now fleet.Micros, s fleet.Sum) {
 	g.now = now
 	r := g.byID[s.Replica]
-	if r == nil || s.Tries <= 0 || s.Span <= 0 || s.Errored < 0 || s.Errored > s.Tries || s.Latency < 0 {
+	if r == nil || s.Tries <= 0 || s.Span <= 0 || s.Errored < 0 || s.Errored > s.Tries || s.Latency < 0 ||
+		s.Zone >= len(r.lines) {
 		return
 	}
 	g.fresh, r.heard = true, true
@@ -320,9 +314,7 @@
 	}
 	good := float64(s.Tries - s.Errored)
 	n := sums{float64(s.Tries), good, float64(s.Errored), good * float64(s.Latency), float64(s.Span)}
-	if s.Zone < len(r.lines) {
-		r.lines[s.Zone].fresh.fold(n, 1)
-	}
+	r.lines[s.Zone].fresh.fold(n, 1)
 }
 
 // Rang takes the one timer.
@@ -356,23 +348,12 @@
 // learn folds one report in, with the design's memory of about ten, then judges by it.
 func (g *Governor) learn() {
 	const memory = 10
-	told := make([]bool, g.terms.Zones) // a zone without any line was not reported
-	for _, r := range g.replicas {
-		for i := range r.lines {
-			told[i] = told[i] || r.lines[i].fresh.tries > 0
-		}
-	}
 	waiting := false
 	for _, r := range g.replicas {
 		var sum sums
 		for i := range r.lines {
 			l := &r.lines[i]
-			if !told[i] {
-				continue
-			}
-			if l.fresh.span == 0 {
-				l.fresh.span = float64(g.terms.Period)
-			}
+			l.fresh.span = max(l.fresh.span, float64(g.terms.Period))
 			sum.fold(l.fresh, 1)
 			l.seen.fold(l.fresh, 1-1.0/memory)
 			l.fresh = sums{}
@@ -397,19 +378,16 @@
 	g.admit()
 }
 
-// gauge takes the fleet's stress: time of tries over the objective, an error as half again the objective, at the
-// median replica, so that a few jammed ones do not count as all. Where replicas report busy cores, the work seen of
-// late over the room of those that stay in counts too, 85% as the level that sheds: a drain or a cold start shows
-// there before it shows in latency.
+// gauge takes the fleet's stress: time of tries over the objective, an error as half again the objective, at
+// the median replica, so that a few jammed ones do not count as all. Where replicas report busy cores, the
+// work seen of late over the room of those that stay in counts too, 85% as the level that sheds: a drain or
+// a cold start shows there before it shows in latency.
 func (g *Governor) gauge() {
-	var objective, work, room float64
-	for _, op := range g.terms.Operations {
-		objective += float64(op.Objective) / float64(len(g.shares))
-	}
+	var work, room float64
 	var paces []float64
 	for _, r := range g.replicas {
 		if b := r.brief; r.state&member != 0 && b.tries >= 1 {
-			paces = append(paces, (b.latency/objective+1.5*b.errored)/b.tries)
+			paces = append(paces, (b.latency/g.objective+1.5*b.errored)/b.tries)
 		}
 		// Three seconds: reports of a few periods, so that what has just left is still counted.
 		if g.now-r.busyAt < 3*fleet.Second {
@@ -427,36 +405,23 @@
 	}
 }
 
-// sheds is the stress from which less is let in: with half of the objective in the mean, the slower part is late.
-const sheds = 0.5
-
-// admit lets the operation that brings least for its time in less while the fleet is short, and more again once it is
-// calm. It covers any shortage, whatever made it; it hurts if replicas are slow by nature yet not full.
+// admit lets the cheapest operation in less while the fleet is short, and more again once it is calm. It covers
+// any shortage, whatever made it; it hurts if replicas are slow by nature yet not full.
 func (g *Governor) admit() {
 	if !g.terms.Admits || g.now < g.admitAt {
 		return
 	}
-	order := make([]int, len(g.shares))
-	for i := range order {
-		order[i] = i
-	}
-	worth := func(i int) float64 { return g.terms.Operations[i].Value / float64(g.terms.Operations[i].Objective) }
-	sort.SliceStable(order, func(i, j int) bool { return worth(order[i]) < worth(order[j]) })
-	// Some of each operation stays, to see its speed. A step shows in sums a second or two later: the next cut waits
-	// for that, the next rise half as long.
+	// Some of each operation stays, to see its speed. A step shows in sums a second or two later: the next
+	// cut waits for that, the next rise half as long.
 	const calm, floor, pause = 0.4, 0.1, 2 * fleet.Second
-	if g.stress > sheds {
-		if k := slices.IndexFunc(order, func(i int) bool { return g.shares[i] > floor }); k >= 0 {
-			s := &g.shares[order[k]]
-			*s = max(floor, *s*max(0.6, sheds/g.stress))
-			g.admitAt = g.now + pause
+	for k := range g.order {
+		if s := &g.shares[g.order[k]]; g.stress > sheds && *s > floor {
+			*s, g.admitAt = max(floor, *s*max(0.6, sheds/g.stress)), g.now+pause
+			break
 		}
-	} else if g.stress < calm {
-		slices.Reverse(order)
-		if k := slices.IndexFunc(order, func(i int) bool { return g.shares[i] < 1 }); k >= 0 {
-			s := &g.shares[order[k]]
-			*s = min(1, *s*1.1+0.02)
-			g.admitAt = g.now + pause/2
+		if s := &g.shares[g.order[len(g.order)-1-k]]; g.stress < calm && *s < 1 {
+			*s, g.admitAt = min(1, *s*1.1+0.02), g.now+pause/2
+			break
 		}
 	}
 	for i, s := range g.shares {
@@ -468,8 +433,8 @@
 	}
 }
 
-// sendLevels orders the shares, and one way for all operations: a further try only on proof that the first never ran.
-// That is safe for every effect, whatever table a proxy holds, and repeats after other failures fed jams.
+// sendLevels orders the shares, and one way for all: a further try only on proof that the first never ran.
+// That is safe for every effect, whatever table a proxy holds; repeats after other failures fed jams.
 func (g *Governor) sendLevels() {
 	copy(g.told, g.shares)
 	for i, s := range g.shares {
@@ -477,69 +442,73 @@
 	}
 }
 
-// judge tells replicas that answer nothing. A silent one shows first as errors, then as no lines at all; sums that
-// come late leave all quiet alike, and an overloaded fleet errs alike, so a replica is judged against the others.
-// It covers silent machines, crashes not yet listed and cut links; where a third of the fleet is out, the rest are
-// left in, since those still answering must not tip over.
-func (g *Governor) judge() {
-	var fleetSum sums
-	ready, out, heard := 0, 0, 0
+func (g *Governor) count(of func(*replica) bool) (n int) {
 	for _, r := range g.replicas {
-		if r.state&member != 0 {
-			ready++
-			fleetSum.fold(r.brief, 1)
+		if of(r) {
+			n++
 		}
-		if r.state == resting {
-			out++
-		} else if r.state&member != 0 && r.quiet == 0 {
-			heard++
+	}
+	return n
+}
+
+// total adds sums of the replicas that have lines.
+func (g *Governor) total(of func(*replica) sums) (t sums) {
+	for _, r := range g.replicas {
+		if r.state&member != 0 {
+			t.fold(of(r), 1)
 		}
 	}
+	return t
+}
+
+// judge tells replicas that answer nothing. A silent one shows first as errors, then as no lines at all;
+// sums that come late leave all quiet alike, and an overloaded fleet errs alike, so a replica is judged
+// against the others. It covers silent machines, crashes not yet listed and cut links; where a third of the
+// fleet is out, the rest are left in, since those still answering must not tip over.
+func (g *Governor) judge() {
+	in := func(r *replica) bool { return r.state&(easing|serving) != 0 }
+	out := g.count(func(r *replica) bool { return r.state == resting })
+	ready := out + g.count(in)
+	heard := g.count(func(r *replica) bool { return in(r) && r.quiet == 0 })
+	fleetSum := g.total(func(r *replica) sums { return r.brief })
 	for _, r := range g.replicas {
 		b := r.brief
 		others := (fleetSum.errored - b.errored) / max(fleetSum.tries-b.tries, 1)
-		// Nine tries in ten, three times the others' share, on three errors: mere overload rarely gets there.
+		// Nine tries in ten, three times the others' share, on three errors: overload rarely gets there.
 		bad := b.errored >= 3 && b.errored >= 0.9*b.tries && b.errored >= 3*others*b.tries
 		silent := r.quiet >= 2 && heard*2 > ready-out
-		if r.state&(easing|serving) != 0 && (bad || silent) && (out+1)*3 <= ready {
+		if in(r) && (bad || silent) && (out+1)*3 <= ready {
 			out++
 			g.tell(r, failing)
 		}
 	}
 }
 
-// far is what a replica of another zone counts for beside a near one. A crossing costs its price for sure, so it
-// starts low; sixty times the price is the middle between quiet days and jammed ones. The preference gives way as
-// the fleet nears the level that sheds, where near ones are slower, and while a third of the fleet is not in full.
+// far is what a replica of another zone counts for beside a near one. A crossing costs its price for sure, so
+// it starts low; sixty times the price lies between what quiet days and what jammed ones want. It gives way as
+// the fleet nears the level that sheds, where near ones are slower, and while a third of it is not in full.
 func (g *Governor) far(zone int) float64 {
 	base := 1 / (1 + 60*g.terms.CrossPrice)
-	var near, other sums
-	full, members := 0.0, 0.0
-	for _, r := range g.replicas {
-		if r.state&member == 0 {
-			continue
-		}
-		members++
-		if r.state == serving {
-			full++
-		}
-		if r.zone == zone {
-			near.fold(r.all, 1)
-		} else {
-			other.fold(r.all, 1)
-		}
-	}
-	if near.good < 1 || other.good < 1 {
+	near := g.total(func(r *replica) sums {
+		if r.zone != zone {
+			return sums{}
+		}
+		return r.all
+	})
+	all := g.total(func(r *replica) sums { return r.all })
+	if near.good < 1 || all.good-near.good < 1 {
 		return base
 	}
-	ratio := near.latency / near.good / max(other.latency/other.good, 1)
-	calm := min(max(2-2*g.stress/sheds, 0), 1) * max(0, 1-3*(1-full/max(members, 1)))
+	members := g.count(func(r *replica) bool { return r.state&member != 0 })
+	short := 1 - float64(g.count(func(r *replica) bool { return r.state == serving }))/float64(members)
+	ratio := near.latency / near.good / max((all.latency-near.latency)/(all.good-near.good), 1)
+	calm := min(max(2-2*g.stress/sheds, 0), 1) * max(0, 1-3*short)
 	return min(max(math.Pow(base, calm)*math.Pow(ratio, 4), base), 1)
 }
 
-// target works out a table's weights by the design: served rate times the fleet's mean latency over the replica's own,
-// what is unheard as average, a started one at its part. The rate counts by the root of its ratio to the average, or
-// a weight would feed on the traffic that it drew; what is little heard leans to the average, near above far.
+// target works out a table's weights by the design: served rate times the fleet's mean latency over the
+// replica's own, what is unheard as average, a started one at its part. The rate counts by the root of its ratio
+// to the average, or a weight would feed on the traffic that it drew; what is little heard leans to the average.
 func (g *Governor) target(zone int) {
 	far := g.far(zone)
 	prior := func(r *replica) float64 {
@@ -548,12 +517,9 @@
 		}
 		return far
 	}
-	var fleetSum sums
+	fleetSum := g.total(func(r *replica) sums { return r.all })
 	rates, priors := 0.0, 0.0
 	for _, r := range g.replicas {
-		if r.state&member != 0 {
-			fleetSum.fold(r.all, 1)
-		}
 		if l := r.lines[zone].seen; r.state == serving && l.span > 0 {
 			rates += l.good / l.span
 			priors += prior(r)
@@ -588,12 +554,8 @@
 	g.now = now
 	g.withdraw()
 	g.bindTurn()
-	if g.gate == open {
-		g.cut()
-		if g.beaten {
-			g.solve()
-		}
-	}
+	g.cut()
+	g.solve()
 	g.beaten = false
 	asked := false
 	for _, p := range g.proxies {
@@ -602,7 +564,7 @@
 		}
 		if !asked {
 			asked, g.receipt = true, (g.receipt+1)%65536
-			g.host.Receipt(g.receipt)
+			g.host.Receipt(uint32(g.receipt))
 		}
 		p.unacked = append(p.unacked, message{g.receipt, p.lines})
 		p.sent = append(p.sent, g.now)
@@ -619,8 +581,8 @@
 	return lines + g.terms.Overhead + 1 + len(g.shares)
 }
 
-// fits tells whether lines for some proxies may be ordered now. The channel may be slower than told, so the queue is
-// taken to hold all that is not acknowledged; spare messages at each proxy are kept for what is more urgent.
+// fits tells whether lines for some proxies may be ordered now. The channel may be slower than told, so all
+// that is not acknowledged counts as queued; spare messages at a proxy are kept for what is more urgent.
 func (g *Governor) fits(proxies []*proxy, lines int, most float64, spare int) bool {
 	total := g.unacked
 	for _, p := range g.proxies {
@@ -644,25 +606,25 @@
 	}
 }
 
-// withdraw shuts replicas out for all joined proxies at once, and again for those that joined since. Letting back in
-// waits for a solve.
+// withdraw shuts replicas out for all joined proxies, and again when one has joined. Letting back in waits for
+// a solve. If none is left in, those that rest come back: a bare proxy is worse than one that errs.
 func (g *Governor) withdraw() {
-	missed := false
+	if g.count(g.out) == len(g.replicas) {
+		for _, r := range g.replicas {
+			g.tell(r, rested)
+		}
+	}
 	for _, r := range g.replicas {
-		if g.out(r) && (!r.told || g.renew) {
-			if !g.fits(g.proxies, 1, 0.9, 1) {
-				missed = true
-				continue
-			}
+		if g.out(r) && (!r.told || g.renew) && g.fits(g.proxies, 1, 0.9, 1) {
 			g.host.Withdraw(r.id, true)
 			g.charge(g.proxies, 1)
 			r.told = true
 		}
 	}
-	g.renew = g.renew && missed
+	g.renew = false
 }
 
-// bindTurn binds a fifth of the proxies a beat once the gate is open. Before that only a proxy that may be bare is.
+// bindTurn binds a fifth of the proxies a beat once the gate is open; before that only one that may be bare.
 func (g *Governor) bindTurn() {
 	quota := 1 + len(g.proxies)/5
 	for _, p := range g.proxies {
@@ -678,24 +640,15 @@
 	}
 }
 
-// bare tells whether withdrawals may have emptied a proxy's standing table: it holds few lines, untold which, of its
-// zone if three replicas are there, else of all.
+// bare tells whether withdrawals may have emptied a proxy's standing table: it holds few lines, untold
+// which, of its zone if three replicas are there, else of all.
 func (g *Governor) bare(p *proxy) bool {
-	zone, zoneOut, all, allOut := 0, 0, 0, 0
-	for _, r := range g.replicas {
-		here, out := 0, 0
-		if r.zone == p.zone {
-			here = 1
-		}
-		if g.out(r) {
-			out = 1
-		}
-		all, allOut, zone, zoneOut = all+1, allOut+out, zone+here, zoneOut+here*out
-	}
-	if zone < 3 {
-		zone, zoneOut = all, allOut
+	near := func(r *replica) bool { return r.zone == p.zone }
+	if g.count(near) < 3 {
+		near = func(*replica) bool { return true }
 	}
-	return zoneOut > 0 && allOut < all && zoneOut >= min(g.terms.StandingSize, zone)
+	out := g.count(func(r *replica) bool { return near(r) && g.out(r) })
+	return out > 0 && g.count(g.out) < len(g.replicas) && out >= min(g.terms.StandingSize, g.count(near))
 }
 
 // bind puts a proxy on its zone's table, laying that first if it has no user yet.
@@ -734,8 +687,8 @@
 
 // cut sends a new quarter at once: a replica that restarted may stand in our tables at full weight.
 func (g *Governor) cut() {
-	users := g.users()
 	for _, r := range g.replicas {
+		users := g.users()
 		if !r.cutDue || !g.fits(users, 1, 0.9, 1) {
 			continue
 		}
@@ -755,7 +708,7 @@
 		span = max(span, 2*g.terms.MessagesSpan/fleet.Micros(g.terms.MessagesMost))
 	}
 	users := g.users()
-	if g.now-g.solvedAt < span || !g.fits(users, 2*len(g.replicas), 0.5, 3) {
+	if g.gate == shut || !g.beaten || g.now-g.solvedAt < span || !g.fits(users, 2*len(g.replicas), 0.5, 3) {
 		return
 	}
 	g.solvedAt = g.now
