--- a/decide/decide.go
+++ b/decide/decide.go
@@ -504,7 +504,7 @@
 	short := 1 - float64(g.count(func(r *replica) bool { return r.state == serving }))/float64(members)
 	ratio := near.latency / near.good / max((all.latency-near.latency)/(all.good-near.good), 1)
 	calm := min(max(2-2*g.stress/sheds, 0), 1) * max(0, 1-3*short)
-	return min(max(math.Pow(base, calm)*math.Pow(ratio, 4), base), 1)
+	return min(max(math.Pow(base, calm)*ratio, base), 1)
 }
 
 // target works out a table's weights by the design: served rate times the fleet's mean latency over the
