--- a/decide/decide.go
+++ b/decide/decide.go
@@ -478,7 +478,7 @@
 		// Nine tries in ten, three times the others' share, on three errors: overload rarely gets there.
 		bad := b.errored >= 3 && b.errored >= 0.9*b.tries && b.errored >= 3*others*b.tries
 		silent := r.quiet >= 2 && heard*2 > ready-out
-		if in(r) && (bad || silent) && (out+1)*3 <= ready {
+		if in(r) && (bad || silent) && g.stress < jammed && (out+1)*3 <= ready {
 			out++
 			g.tell(r, failing)
 		}
@@ -539,8 +539,8 @@
 			speed = mean / (r.all.latency / r.all.good)
 		}
 		if r.state == easing && r.all.good >= 3 {
-			// What it serves follows from its part, so only its latency tells of its speed.
-			l.next *= min(1, speed)
+			// What it serves follows from its part, so only latency tells its speed, up to twice.
+			l.next *= min(2, speed)
 		} else if r.state != easing && l.seen.span > 0 && rates > 0 {
 			// Ten tries weigh as much as the average does: below that a mean latency says little.
 			const doubt = 10.0
