--- a/decide/decide.go
+++ b/decide/decide.go
@@ -150,7 +150,7 @@
 		byID: map[fleet.ReplicaID]*replica{}, byProxy: map[fleet.ProxyID]*proxy{},
 		told: make([]float64, len(t.Operations))}
 	for i, op := range t.Operations {
-		g.shares, g.order = append(g.shares, 1), append(g.order, i)
+		g.shares, g.order = append(g.shares, t.AdmitAll), append(g.order, i)
 		g.objective += float64(op.Objective) / float64(len(t.Operations))
 	}
 	worth := func(i int) float64 { return t.Operations[i].Value / float64(t.Operations[i].Objective) }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -45,9 +45,10 @@
 type Terms struct {
 	Operations   []Operation
 	Zones        int
-	Subscribe    bool // the list answers only those who ask
-	Admits       bool // proxies honour an admitted share
-	StandingSize int  // most lines of a proxy's standing table
+	Subscribe    bool    // the list answers only those who ask
+	Admits       bool    // proxies honour an admitted share
+	AdmitAll     float64 // the quota that lets everything in, whether it is read as a share or as a rate
+	StandingSize int     // most lines of a proxy's standing table
 	Period       Micros
 	Overhead     int // lines that a message costs beyond its own
 	QueueMost    int // lines that may wait in the channel
--- a/simwire/simwire_test.go
+++ b/simwire/simwire_test.go
@@ -117,6 +117,9 @@
 		terms.Operations[0].Objective != 500000 || terms.Cold != 17*fleet.Second || terms.QueueMost != 6000 {
 		t.Fatalf("%+v %v", terms, err)
 	}
+	if rate, _ := Terms([]byte(strings.Replace(good, "ratio", "rps", 1))); rate.Admits || rate.AdmitAll < 1e9 {
+		t.Fatal("where quotas are rates, 1 would let in one invocation a second")
+	}
 	for name, change := range map[string][2]string{
 		"no text": {good, ""}, "no classes": {`"classes"`, `"lasses"`}, "no objective": {"500", "0"},
 		"a period below 0": {`"period":1000`, `"period":-1`}, "no queue": {"6000", "0"},
--- a/simwire/terms.go
+++ b/simwire/terms.go
@@ -65,10 +65,13 @@
 	}
 	t := fleet.Terms{
 		Zones: len(o.Zones), Subscribe: o.Membership == "subscribe", Admits: x.Admission == "ratio",
-		StandingSize: x.DefaultSize, Period: micros(x.Period), Overhead: int(math.Ceil(x.Overhead)),
+		AdmitAll: 1, StandingSize: x.DefaultSize, Period: micros(x.Period), Overhead: int(math.Ceil(x.Overhead)),
 		QueueMost: int(x.PendingMax), MessagesMost: x.MessagesMost, MessagesSpan: micros(x.MessagesSpan),
 		CrossPrice: o.Prices.CrossZone, BusyField: -1, Cold: micros(o.Guarantees.Cold),
 	}
+	if x.Admission == "rps" {
+		t.AdmitAll = math.MaxFloat32
+	}
 	if o.Stats.How == "piggyback" {
 		t.BusyField = slices.Index(o.Stats.Fields, "cpu_share")
 	}
