--- a/decide/decide.go
+++ b/decide/decide.go
@@ -136,10 +136,10 @@
 	laid                             []bool // tables that stand, one a zone
 	due                              []dueTime
 	unacked, askFails, receipt       int
-	renew, beaten, fresh             bool      // a proxy joined; the timer rang; a report came
+	renew, beaten                    bool      // a proxy joined; the timer rang
 	shares, told                     []float64 // let in, by operation; as ordered
 	order                            []int     // operations, the one that brings least for its time first
-	objective, stress                float64   // mean latency objective; see gauge
+	came, objective, stress          float64   // tries since the last report; mean objective; see gauge
 }
 
 // New makes a governor, subscribes it to the list and starts its gate's window.
@@ -164,7 +164,7 @@
 	return g
 }
 
-// beat is the span of the one timer: five to a report, so that a round of binds takes about one report.
+// beat is the one timer: five to a report, so that a round of binds takes about one report.
 func (g *Governor) beat() fleet.Micros { return max(g.terms.Period/5, 50*fleet.Millisecond) }
 
 func (g *Governor) after(span fleet.Micros, d dueTime) {
@@ -309,7 +309,7 @@
 		s.Zone >= len(r.lines) {
 		return
 	}
-	g.fresh, r.heard = true, true
+	g.came, r.heard = g.came+float64(s.Tries), true
 	if k := g.terms.BusyField; k >= 0 && k < len(s.Report) && s.Report[k] >= 0 {
 		r.busy, r.busyAt = min(s.Report[k], 1), now
 	}
@@ -334,22 +334,20 @@
 			g.tell(d.r, d.on)
 		}
 	}
-	if g.fresh && now-g.foldedAt >= g.terms.Period {
+	if g.came > 0 && now-g.foldedAt >= g.terms.Period {
 		g.learn()
-		g.foldedAt, g.fresh = now, false
+		g.foldedAt, g.came = now, 0
 	}
 }
 
 // begin opens the gate. Tables are laid when their first proxy is bound, with what was learnt by then.
-func (g *Governor) begin(*Governor) {
-	g.host.Log("gate open")
-	g.solvedAt = g.now
-}
+func (g *Governor) begin(*Governor) { g.host.Log("gate open") }
 
 // learn folds one report in, with the design's memory of about ten, then judges by it.
 func (g *Governor) learn() {
 	const memory = 10
 	waiting := false
+	present := g.came * memory / max(g.came*memory, g.total(func(r *replica) sums { return r.all }).tries)
 	for _, r := range g.replicas {
 		var sum sums
 		for i := range r.lines {
@@ -359,8 +357,8 @@
 			l.seen.fold(l.fresh, 1-1.0/memory)
 			l.fresh = sums{}
 		}
-		// One and a half tries due in a report: two reports without any are then no chance.
-		if sum.tries > 0 || r.all.tries/memory < 1.5 {
+		// One and a half tries due at the present traffic: two reports without any are then no chance.
+		if sum.tries > 0 || r.all.tries/memory*present < 1.5 {
 			r.quiet = 0
 		} else {
 			r.quiet++
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -233,6 +233,19 @@
 			t.Fatalf("out %v", h.out)
 		}
 	})
+	t.Run("less traffic for all makes none silent", func(t *testing.T) {
+		// Found by an incident: shedding left so few tries that replicas without one were withdrawn.
+		h := begin(t, 6, nil)
+		h.run(12, h.all(6))
+		h.run(4, func() {
+			for k := 1; k <= 4; k++ {
+				h.heard(k, 1, 0, 100*fleet.Millisecond)
+			}
+		})
+		if len(h.out) != 0 {
+			t.Fatalf("out %v", h.out)
+		}
+	})
 	t.Run("no more than a third is taken out", func(t *testing.T) {
 		h := begin(t, 6, nil)
 		h.run(12, h.all(6))
