--- a/decide/decide.go
+++ b/decide/decide.go
@@ -419,7 +419,7 @@
 			break
 		}
 		if s := &g.shares[g.order[len(g.order)-1-k]]; g.stress < calm && *s < 1 {
-			*s, g.admitAt = min(1, *s*1.1+0.02), g.now+pause/2
+			*s, g.admitAt = min(1, *s*min(1.6, 0.9*calm/g.stress)+0.02), g.now+pause/2
 			break
 		}
 	}
