--- a/decide/decide.go
+++ b/decide/decide.go
@@ -13,7 +13,7 @@
 //  1. near first (far): a replica of another zone counts for less while the fleet is calm
 //  2. damped feedback (target): a weight follows the rate that it drew itself by the root only
 //  3. rest (judge): a replica that answers nothing while the others do is withdrawn and tried again later
-//  4. levels (gauge, admit): the operation that brings least is let in less while the fleet is short
+//  4. levels (gauge, admit): the cheapest operation is let in less, none repeated, while the fleet is short
 //  5. early bind, early hold (bare, out): what the rules need of proxies still on untold standing tables
 //  6. ledger (fits): the queue is bounded by lines not acknowledged, messages by the limit for a proxy
 package decide
@@ -86,7 +86,7 @@
 	d.latency, d.span = d.latency*keep+n.latency, d.span*keep+n.span
 }
 
-// line is a replica's place in one zone's table, and what that zone's proxies met there.
+// line is a replica's place in a zone's table, and what that zone's proxies met there.
 type line struct {
 	weight, next float64 // as ordered, 0 for no line; to be ordered
 	seen, fresh  sums    // over about ten reports; since the last
@@ -136,6 +136,7 @@
 	laid                             []bool // tables that stand, one a zone
 	due                              []dueTime
 	unacked, askFails, receipt       int
+	way                              fleet.Way // when proxies try again, as ordered
 	renew, beaten                    bool      // a proxy joined; the timer rang
 	shares, told                     []float64 // let in, by operation; as ordered
 	order                            []int     // operations, the one that brings least for its time first
@@ -144,10 +145,9 @@
 
 // New makes a governor, subscribes it to the list and starts its gate's window.
 func New(t fleet.Terms, host fleet.Host, now fleet.Micros) *Governor {
-	// The start window is the design's default.
-	const window = 10 * fleet.Second
-	g := &Governor{terms: t, host: host, now: now, foldedAt: now, gate: shut, laid: make([]bool, t.Zones),
-		byID: map[fleet.ReplicaID]*replica{}, byProxy: map[fleet.ProxyID]*proxy{},
+	const window = 10 * fleet.Second // the start window is the design's default
+	g := &Governor{terms: t, host: host, now: now, foldedAt: now, gate: shut, way: fleet.WhenUnrun,
+		laid: make([]bool, t.Zones), byID: map[fleet.ReplicaID]*replica{}, byProxy: map[fleet.ProxyID]*proxy{},
 		told: make([]float64, len(t.Operations))}
 	for i, op := range t.Operations {
 		g.shares, g.order = append(g.shares, t.AdmitAll), append(g.order, i)
@@ -407,13 +407,10 @@
 // admit lets the cheapest operation in less while the fleet is short, and more again once it is calm. It
 // covers any shortage, whatever made it; it hurts if replicas are slow by nature yet not full.
 func (g *Governor) admit() {
-	if !g.terms.Admits || g.now < g.admitAt {
-		return
-	}
 	// Some of each operation stays, to see its speed. A step shows in sums a second or two later: the next
 	// cut waits for that, the next rise half as long.
 	const calm, floor, pause = 0.4, 0.1, 2 * fleet.Second
-	for k := range g.order {
+	for k := 0; k < len(g.order) && g.terms.Admits && g.now >= g.admitAt; k++ {
 		if s := &g.shares[g.order[k]]; g.stress > sheds && *s > floor {
 			*s, g.admitAt = max(floor, *s*max(0.6, sheds/g.stress)), g.now+pause
 			break
@@ -423,8 +420,13 @@
 			break
 		}
 	}
+	way := fleet.WhenUnrun
+	if g.stress > sheds || g.stress > calm && g.way == fleet.Never {
+		way = fleet.Never
+	}
 	for i, s := range g.shares {
-		if math.Abs(s-g.told[i]) >= 0.03 && g.fits(g.proxies, len(g.shares), 0.5, 3) {
+		if (way != g.way || math.Abs(s-g.told[i]) >= 0.03) && g.fits(g.proxies, len(g.shares), 0.5, 3) {
+			g.way = way
 			g.sendLevels()
 			g.charge(g.proxies, len(g.shares))
 			return
@@ -432,12 +434,12 @@
 	}
 }
 
-// sendLevels orders the shares, and one way for all: a further try only on proof that the first never ran.
-// That is safe for every effect, whatever table a proxy holds; repeats after other failures fed jams.
+// sendLevels orders the shares, and one way for all: a further try on proof that the first never ran, safe
+// for every effect and any table; none while the fleet is short, as tries turned away would treble.
 func (g *Governor) sendLevels() {
 	copy(g.told, g.shares)
 	for i, s := range g.shares {
-		g.host.Level(fleet.Everywhere, 1<<i, s, fleet.WhenUnrun)
+		g.host.Level(fleet.Everywhere, 1<<i, s, g.way)
 	}
 }
 
@@ -572,7 +574,7 @@
 	}
 }
 
-// price is what some lines for a proxy add to the queue: a new message brings its head, receipt and levels.
+// price is what lines for a proxy add to the queue: a new message brings its head, receipt and levels.
 func (g *Governor) price(p *proxy, lines int) int {
 	if p.lines > 0 {
 		return lines
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -206,9 +206,27 @@
 }
 
 func TestRepeats(t *testing.T) {
-	if h := begin(t, 3, nil); len(h.ways) != 1 || !h.ways[fleet.WhenUnrun] {
-		t.Fatalf("ways %v: only proof that the first never ran is safe for every effect", h.ways)
-	}
+	h := begin(t, 6, func(terms *fleet.Terms) { terms.Admits = false })
+	t.Run("only on proof that the first never ran", func(t *testing.T) {
+		if h.run(12, h.all(6)); len(h.ways) != 1 || !h.ways[fleet.WhenUnrun] {
+			t.Fatalf("ways %v: no other is safe for every effect", h.ways)
+		}
+	})
+	t.Run("none while the fleet is short, and again after", func(t *testing.T) {
+		// Found by an incident: full replicas turned tries away at once, and each came again elsewhere.
+		h.run(4, func() {
+			for k := 1; k <= 6; k++ {
+				h.heard(k, 10, 6, 300*fleet.Millisecond)
+			}
+		})
+		if h.ways[fleet.AnyFailure] || h.ways[fleet.TwoMore] || !h.ways[fleet.Never] {
+			t.Fatalf("ways %v", h.ways)
+		}
+		clear(h.ways)
+		if h.run(10, h.all(6)); !h.ways[fleet.WhenUnrun] {
+			t.Fatalf("ways %v after the jam", h.ways)
+		}
+	})
 }
 
 func TestRest(t *testing.T) {
