Say withdrawals to a joined proxy later if the queue had no room

Found by reading: the flag that a proxy joined was cleared though the ledger had refused the orders, so a drain could go untold.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -622,7 +622,7 @@
 			r.told = true
 		}
 	}
-	g.renew = false
+	g.renew = g.renew && !g.fits(g.proxies, 1, 0.9, 1) // what found no room is said later
 }
 
 // bindTurn binds a fifth of the proxies a beat once the gate is open; before that only one that may be bare.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -74,6 +74,16 @@
 		h.settle()
 		failIf(t, !h.out[id(2)], "not said again")
 	})
+	t.Run("later if the queue had no room then", func(t *testing.T) {
+		delete(h.out, id(2))
+		h.g.unacked += 5000
+		h.join(4)
+		h.settle()
+		failIf(t, h.out[id(2)], "the queue is passed")
+		h.g.unacked -= 5000
+		h.settle()
+		failIf(t, !h.out[id(2)], "never said to the proxy that joined")
+	})
 	t.Run("absent from a whole list is gone", func(t *testing.T) {
 		h.g.Listed(h.now, fleet.Whole, []fleet.Listing{ready(1, 0), ready(4, 0)})
 		h.settle()
