--- a/decide/decide.go
+++ b/decide/decide.go
@@ -256,10 +256,10 @@
 const sheds, jammed = 0.5, 1.0
 
 // out tells whether a replica is shut out everywhere. A cold one is while the gate is shut, as it may stand
-// in untold tables at full weight, and in a jam, as proxies that avoid full replicas would all run to it.
+// in untold tables at full weight, and in a jam, as proxies that avoid what fails would all run to it.
 func (g *Governor) out(r *replica) bool {
 	cold := r.state == easing && g.now-r.since < g.terms.Cold
-	return r.state&(easing|serving) == 0 || cold && (g.gate == shut || g.stress > jammed)
+	return r.state&(easing|serving) == 0 || cold && (g.gate == shut || g.terms.Avoids && g.stress > jammed)
 }
 
 // Joined takes a proxy whose stream is established. It may hold old withdrawals, and not know ours.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -132,17 +132,19 @@
 			t.Fatal("not let back in")
 		}
 	})
-	t.Run("is held out of a jam", func(t *testing.T) {
-		h := begin(t, 8, nil)
-		h.run(12, h.all(8))
-		start(h)
-		h.run(4, func() {
-			for k := 2; k <= 8; k++ {
-				h.heard(k, 10, 7, 400*fleet.Millisecond)
-			}
+	for name, avoids := range map[string]bool{"is held out of a jam": true, "unless proxies avoid nothing": false} {
+		t.Run(name, func(t *testing.T) {
+			h := begin(t, 8, func(terms *fleet.Terms) { terms.Avoids = avoids })
+			h.run(12, h.all(8))
+			start(h)
+			h.run(4, func() {
+				for k := 2; k <= 8; k++ {
+					h.heard(k, 10, 7, 400*fleet.Millisecond)
+				}
+			})
+			failIf(t, h.out[id(1)] != avoids, "out %v: proxies run from full replicas to the cold one", h.out[id(1)])
 		})
-		failIf(t, !h.out[id(1)], "proxies run from full replicas to the cold one")
-	})
+	}
 }
 
 func TestQueue(t *testing.T) {
--- a/decide/host_test.go
+++ b/decide/host_test.go
@@ -75,8 +75,8 @@
 func begin(t *testing.T, n int, change func(*fleet.Terms)) *fakeHost {
 	terms := fleet.Terms{
 		Operations: []fleet.Operation{{Objective: 500000, Value: 1}, {Objective: 500000, Value: 3}}, Zones: 2,
-		Subscribe: true, Admits: true, AdmitAll: 1, StandingSize: 4, Period: fleet.Second, Overhead: 6, QueueMost: 5000,
-		CrossPrice: 0.05, BusyField: -1, Cold: 17 * fleet.Second,
+		Subscribe: true, Avoids: true, Admits: true, AdmitAll: 1, StandingSize: 4, Period: fleet.Second,
+		Overhead: 6, QueueMost: 5000, CrossPrice: 0.05, BusyField: -1, Cold: 17 * fleet.Second,
 	}
 	if change != nil {
 		change(&terms)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -48,6 +48,7 @@
 	Subscribe    bool    // the list answers only those who ask
 	Admits       bool    // proxies honour an admitted share
 	AdmitAll     float64 // the quota that lets everything in, whether it is read as a share or as a rate
+	Avoids       bool    // proxies keep away for some seconds from a replica that keeps failing
 	StandingSize int     // most lines of a proxy's standing table
 	Period       Micros
 	Overhead     int // lines that a message costs beyond its own
--- a/simwire/terms.go
+++ b/simwire/terms.go
@@ -21,6 +21,7 @@
 		Admission    string  `json:"admission"`
 		OwnZone      []bool  `json:"class_own_zone"`
 		DefaultSize  int     `json:"default_size"`
+		Ejects       int     `json:"fails_to_eject"`
 		Period       float64 `json:"period"`
 		Overhead     float64 `json:"overhead"`
 		PendingMax   float64 `json:"pending_max"`
@@ -65,7 +66,7 @@
 	}
 	t := fleet.Terms{
 		Zones: len(o.Zones), Subscribe: o.Membership == "subscribe", Admits: x.Admission == "ratio",
-		AdmitAll: 1, StandingSize: x.DefaultSize, Period: micros(x.Period), Overhead: int(math.Ceil(x.Overhead)),
+		AdmitAll: 1, Avoids: x.Ejects > 0, StandingSize: x.DefaultSize, Period: micros(x.Period), Overhead: int(math.Ceil(x.Overhead)),
 		QueueMost: int(x.PendingMax), MessagesMost: x.MessagesMost, MessagesSpan: micros(x.MessagesSpan),
 		CrossPrice: o.Prices.CrossZone, BusyField: -1, Cold: micros(o.Guarantees.Cold),
 	}
