Tidy: sum the fleet once a table, ask for users only when due, drop fixed parameters

Found on reading the whole change again. far and target added up the same sums; every settle listed the bound proxies for each replica though no cut was due; weights were worked out for tables that no proxy uses (the governor now keeps the zones whose table stands). Bind's operations, Wake's token and Level's table never carried but one value and are gone from the interface; the codec writes the table that means every joined proxy. No decision changes.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -133,7 +133,7 @@
 	byID                             map[fleet.ReplicaID]*replica
 	proxies                          []*proxy
 	byProxy                          map[fleet.ProxyID]*proxy
-	laid                             []bool // tables that stand, one a zone
+	laid                             []int // zones whose table stands, in order
 	due                              []dueTime
 	unacked, askFails, receipt       int
 	way                              fleet.Way // when proxies try again, as ordered
@@ -147,7 +147,7 @@
 func New(t fleet.Terms, host fleet.Host, now fleet.Micros) *Governor {
 	const window = 10 * fleet.Second // the start window is the design's default
 	g := &Governor{terms: t, host: host, now: now, foldedAt: now, gate: shut, way: fleet.WhenUnrun,
-		laid: make([]bool, t.Zones), byID: map[fleet.ReplicaID]*replica{}, byProxy: map[fleet.ProxyID]*proxy{},
+		byID: map[fleet.ReplicaID]*replica{}, byProxy: map[fleet.ProxyID]*proxy{},
 		told: make([]float64, len(t.Operations))}
 	for i, op := range t.Operations {
 		g.shares, g.order = append(g.shares, t.AdmitAll), append(g.order, i)
@@ -159,7 +159,7 @@
 	if t.Subscribe {
 		host.Follow()
 	}
-	host.Wake(g.beat(), 0)
+	host.Wake(g.beat())
 	g.sendLevels()
 	return g
 }
@@ -321,7 +321,7 @@
 // Rang takes the one timer.
 func (g *Governor) Rang(now fleet.Micros) {
 	g.now, g.beaten = now, true
-	g.host.Wake(g.beat(), 0)
+	g.host.Wake(g.beat())
 	for len(g.due) > 0 && g.due[0].at <= now {
 		d := g.due[0]
 		g.due = g.due[1:]
@@ -439,7 +439,7 @@
 func (g *Governor) sendLevels() {
 	copy(g.told, g.shares)
 	for i, s := range g.shares {
-		g.host.Level(fleet.Everywhere, 1<<i, s, g.way)
+		g.host.Level(1<<i, s, g.way)
 	}
 }
 
@@ -488,7 +488,7 @@
 // far is what a replica of another zone counts for beside a near one. A crossing costs its price for sure, so
 // it starts low; sixty times the price lies between what quiet and what jammed days want. It gives way as the
 // fleet nears the level that sheds, where near ones are slower, and while a third of it is not in full.
-func (g *Governor) far(zone int) float64 {
+func (g *Governor) far(zone int, all sums) float64 {
 	base := 1 / (1 + 60*g.terms.CrossPrice)
 	near := g.total(func(r *replica) sums {
 		if r.zone != zone {
@@ -496,7 +496,6 @@
 		}
 		return r.all
 	})
-	all := g.total(func(r *replica) sums { return r.all })
 	if near.good < 1 || all.good-near.good < 1 {
 		return base
 	}
@@ -511,14 +510,14 @@
 // replica's own, the unheard as average, a started one at its part. The rate counts by the root of its ratio
 // to the average, or a weight would feed on the traffic that it drew; the little heard leans to the average.
 func (g *Governor) target(zone int) {
-	far := g.far(zone)
+	fleetSum := g.total(func(r *replica) sums { return r.all })
+	far := g.far(zone, fleetSum)
 	prior := func(r *replica) float64 {
 		if r.zone == zone {
 			return 1
 		}
 		return far
 	}
-	fleetSum := g.total(func(r *replica) sums { return r.all })
 	rates, priors := 0.0, 0.0
 	for _, r := range g.replicas {
 		if l := r.lines[zone].seen; r.state == serving && l.span > 0 {
@@ -654,21 +653,22 @@
 
 // bind puts a proxy on its zone's table, laying that first if it has no user yet.
 func (g *Governor) bind(p *proxy) {
-	if !g.laid[p.zone] {
-		g.laid[p.zone] = true
+	if !slices.Contains(g.laid, p.zone) {
+		g.laid = append(g.laid, p.zone)
+		slices.Sort(g.laid)
 		g.target(p.zone)
 		for _, r := range g.replicas {
 			g.assign(r, p.zone)
 		}
 	}
-	g.host.Bind(p.id, fleet.TableID(p.zone), 0)
+	g.host.Bind(p.id, fleet.TableID(p.zone))
 	g.charge([]*proxy{p}, 1+2*len(g.replicas))
 }
 
 // assign orders a line if that changes it.
 func (g *Governor) assign(r *replica, zone int) int {
 	l := &r.lines[zone]
-	if l.next == l.weight || !g.laid[zone] {
+	if l.next == l.weight {
 		return 0
 	}
 	l.weight = l.next
@@ -689,16 +689,15 @@
 // cut sends a new quarter at once: a replica that restarted may stand in our tables at full weight.
 func (g *Governor) cut() {
 	for _, r := range g.replicas {
-		users := g.users()
-		if !r.cutDue || !g.fits(users, 1, 0.9, 1) {
+		if !r.cutDue || !g.fits(g.users(), 1, 0.9, 1) {
 			continue
 		}
 		r.cutDue = false
-		for zone := range g.laid {
+		for _, zone := range g.laid {
 			g.target(zone)
 			g.assign(r, zone)
 		}
-		g.charge(users, 1)
+		g.charge(g.users(), 1)
 	}
 }
 
@@ -708,8 +707,7 @@
 	if g.terms.MessagesMost > 0 {
 		span = max(span, 2*g.terms.MessagesSpan/fleet.Micros(g.terms.MessagesMost))
 	}
-	users := g.users()
-	if g.gate == shut || !g.beaten || g.now-g.solvedAt < span || !g.fits(users, 2*len(g.replicas), 0.5, 3) {
+	if g.gate == shut || !g.beaten || g.now-g.solvedAt < span || !g.fits(g.users(), 2*len(g.replicas), 0.5, 3) {
 		return
 	}
 	g.solvedAt = g.now
@@ -721,7 +719,7 @@
 			lines++
 		}
 	}
-	for zone := range g.laid {
+	for _, zone := range g.laid {
 		g.target(zone)
 		for _, r := range g.replicas {
 			if l := &r.lines[zone]; l.weight > 0 && l.next > 0 {
@@ -735,6 +733,6 @@
 		}
 	}
 	if lines > 0 {
-		g.charge(users, min(lines, 2*len(g.replicas)))
+		g.charge(g.users(), min(lines, 2*len(g.replicas)))
 	}
 }
--- a/decide/host_test.go
+++ b/decide/host_test.go
@@ -41,12 +41,16 @@
 		h.weights[r] = w
 	}
 }
-func (h *fakeHost) Bind(p fleet.ProxyID, t fleet.TableID, operations uint16) {
+func (h *fakeHost) Bind(p fleet.ProxyID, t fleet.TableID) {
 	h.orders = append(h.orders, fmt.Sprint(p, t))
 	h.bound[p]++
 }
-func (h *fakeHost) Withdraw(r fleet.ReplicaID, out bool) { h.out[r] = out }
-func (h *fakeHost) Level(t fleet.TableID, operations uint16, share float64, w fleet.Way) {
+func (h *fakeHost) Withdraw(r fleet.ReplicaID, out bool) {
+	h.orders = append(h.orders, fmt.Sprint(r, out))
+	h.out[r] = out
+}
+func (h *fakeHost) Level(operations uint16, share float64, w fleet.Way) {
+	h.orders = append(h.orders, fmt.Sprint(operations, share, w))
 	h.shares[operations], h.ways[w] = share, true
 }
 func (h *fakeHost) Receipt(number uint32) {
@@ -56,9 +60,9 @@
 		}
 	}
 }
-func (h *fakeHost) Wake(after fleet.Micros, token uint64) {}
-func (h *fakeHost) Follow()                               { h.follows++ }
-func (h *fakeHost) Log(text string)                       {}
+func (h *fakeHost) Wake(after fleet.Micros) {}
+func (h *fakeHost) Follow()                 { h.follows++ }
+func (h *fakeHost) Log(text string)         {}
 
 func failIf(t *testing.T, wrong bool, format string, args ...any) {
 	t.Helper()
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -22,9 +22,6 @@
 	TableID uint16
 )
 
-// Everywhere addresses all joined proxies in Host.Level.
-const Everywhere TableID = 65535
-
 // Way says when a proxy tries another replica.
 type Way uint8
 
@@ -102,11 +99,11 @@
 // message for each proxy concerned.
 type Host interface {
 	Assign(t TableID, r ReplicaID, weight float64) // one table line; 0 removes it
-	Bind(p ProxyID, t TableID, operations uint16)  // put a proxy on a table; 0: for all operations
+	Bind(p ProxyID, t TableID)                     // put a proxy on a table for all operations
 	Withdraw(r ReplicaID, out bool)                // shut a replica out of every table, or let it back
-	Level(t TableID, operations uint16, share float64, w Way)
-	Receipt(number uint32) // ask the proxies reached for an answer
-	Wake(after Micros, token uint64)
+	Level(operations uint16, share float64, w Way) // what all joined proxies let in and when they try again
+	Receipt(number uint32)                         // ask the proxies reached for an answer
+	Wake(after Micros)
 	Follow() // subscribe to the list
 	Log(text string)
 }
--- a/simwire/simwire.go
+++ b/simwire/simwire.go
@@ -17,6 +17,7 @@
 	orderSize   = 24
 	listingSize = 24
 	frameMost   = 1 << 28
+	everyTable  = 65535 // in a Level: for every joined proxy
 )
 
 // Event codes of a batch.
@@ -193,11 +194,10 @@
 	putReplica(rec[7:], id)
 }
 
-func (r *Reply) Bind(p fleet.ProxyID, t fleet.TableID, operations uint16) {
+func (r *Reply) Bind(p fleet.ProxyID, t fleet.TableID) {
 	rec := r.record(14)
 	le.PutUint16(rec[1:], uint16(p))
 	le.PutUint16(rec[3:], uint16(t))
-	le.PutUint16(rec[5:], operations)
 }
 
 func (r *Reply) Withdraw(id fleet.ReplicaID, out bool) {
@@ -208,9 +208,9 @@
 	}
 }
 
-func (r *Reply) Level(t fleet.TableID, operations uint16, share float64, w fleet.Way) {
+func (r *Reply) Level(operations uint16, share float64, w fleet.Way) {
 	rec := r.record(7)
-	le.PutUint16(rec[1:], uint16(t))
+	le.PutUint16(rec[1:], everyTable)
 	le.PutUint16(rec[3:], operations)
 	le.PutUint32(rec[5:], math.Float32bits(float32(share)))
 	rec[9] = byte(w)
@@ -218,10 +218,8 @@
 
 func (r *Reply) Receipt(number uint32) { le.PutUint32(r.record(6)[2:], number) }
 
-func (r *Reply) Wake(after fleet.Micros, token uint64) {
-	rec := r.record(13)
-	le.PutUint64(rec[1:], math.Float64bits(float64(after)/1000))
-	le.PutUint64(rec[9:], token)
+func (r *Reply) Wake(after fleet.Micros) {
+	le.PutUint64(r.record(13)[1:], math.Float64bits(float64(after)/1000))
 }
 
 // Frame gives the reply to the batch of that number.
--- a/simwire/terms.go
+++ b/simwire/terms.go
@@ -66,8 +66,8 @@
 	}
 	t := fleet.Terms{
 		Zones: len(o.Zones), Subscribe: o.Membership == "subscribe", Admits: x.Admission == "ratio",
-		AdmitAll: 1, Avoids: x.Ejects > 0, StandingSize: x.DefaultSize, Period: micros(x.Period), Overhead: int(math.Ceil(x.Overhead)),
-		QueueMost: int(x.PendingMax), MessagesMost: x.MessagesMost, MessagesSpan: micros(x.MessagesSpan),
+		AdmitAll: 1, Avoids: x.Ejects > 0, StandingSize: x.DefaultSize, Period: micros(x.Period),
+		Overhead: int(math.Ceil(x.Overhead)), QueueMost: int(x.PendingMax), MessagesMost: x.MessagesMost, MessagesSpan: micros(x.MessagesSpan),
 		CrossPrice: o.Prices.CrossZone, BusyField: -1, Cold: micros(o.Guarantees.Cold),
 	}
 	if x.Admission == "rps" {
