Shared tables for parts of a zone, lines counted one by one, silence by age

Reports for hundreds of replicas take several periods at the told intake, so a replica without a line in two periods was taken for silent. Change: a zone has several tables, as wide as connections and handshakes allow; orders are charged to the users of a table; rates go by the time since a replica's last line; silence is an age beside the median age. Plain types and bookkeeping moved to decide/state.go; no decision is there. Covers also fleets that grow: new replicas get lines. Could hurt where a part of a zone has far more traffic than its replicas.

--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -107,11 +107,11 @@
 
 func (inst *instance) take(e simwire.Event, now fleet.Micros) error {
 	if e.Code() == simwire.CodeHello {
-		text, err := e.Hello()
+		seed, text, err := e.Hello()
 		if err != nil {
 			return err
 		}
-		terms, err := simwire.Terms(text)
+		terms, err := simwire.Terms(seed, text)
 		if err != nil {
 			inst.governor = nil
 			inst.reply.Exception(err.Error())
@@ -137,8 +137,8 @@
 	case simwire.CodeBell:
 		g.Rang(now)
 	case simwire.CodeDialledIn:
-		p, zone := e.DialledIn()
-		g.Joined(now, p, zone)
+		p, zone, usual := e.DialledIn()
+		g.Joined(now, p, zone, usual)
 	case simwire.CodeDisconnected:
 		g.Left(now, e.Left())
 	case simwire.CodeTookEffect:
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,24 +1,23 @@
-// Package decide holds every decision of a governor: what its proxies' tables contain, who is bound to them,
-// which replicas are shut out, how much is let in, and when all of that is sent.
+// Package decide holds every decision of a governor: tables, binds, withdrawals, levels, and when each is
+// sent.
 //
 // A caller makes a Governor with New, hands it what it is told (Listed, Joined, Left, Applied, Heard, Rang)
-// and calls Settle once all that came at one moment is in. Orders go out through fleet.Host; package fleet
-// is the whole interface. Nothing else is read: no clock, no names, no other governor.
-//
-// Why a replica got its weight: target, then solve. Why a proxy was or was not bound: bindTurn. Why a
-// replica was withdrawn: the rows of replicaMoves, judge for the input "failing", and out. In which order
-// things leave: Settle.
+// and calls Settle once all that came at one moment is in. Orders go out through fleet.Host; package fleet is
+// the whole interface. Which lines a table has: fill. Their weights: weigh, then order. Who is bound:
+// bindTurn. Why a replica is withdrawn: replicaMoves, judge for the input "failing", and out. What leaves
+// first: Settle.
 //
 // Mechanisms beside the design, six at most:
-//  1. near first (far): a replica of another zone counts for less while the fleet is calm
-//  2. damped feedback (target): a weight follows the rate that it drew itself by the root only
+//  1. near first (weigh): a replica of another zone counts for less while the fleet is calm
+//  2. damped feedback (weigh): a weight follows the rate that it drew itself by the root only
 //  3. rest (judge): a replica that answers nothing while the others do is withdrawn and tried again later
-//  4. levels (gauge, admit): the cheapest operation is let in less, none repeated, while the fleet is short
+//  4. levels (learn, admit): the cheapest operation is let in less, none repeated, while the fleet is short
 //  5. early bind, early hold (bare, out): what the rules need of proxies still on untold standing tables
-//  6. ledger (fits): the queue is bounded by lines not acknowledged, messages by the limit for a proxy
+//  6. ledger (pay): the queue is bounded by lines not acknowledged, messages by the limit for a proxy
 package decide
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -31,11 +30,10 @@
 type state uint16
 type input uint16
 
-const shut, open state = 1, 2                   // of the gate
-const loose, bound, parted state = 1, 2, 4      // of a proxy; loose: on tables that we did not lay
-const away, draining, easing state = 1, 2, 4    // of a replica; easing: in at a part of its weight, rising
-const serving, resting state = 8, 16            // resting: listed as ready, withdrawn by us
-const member state = easing | serving | resting // has lines in our tables
+const shut, open state = 1, 2                // of the gate
+const loose, bound, parted state = 1, 2, 4   // of a proxy; loose: on tables that we did not lay
+const away, draining, easing state = 1, 2, 4 // of a replica; easing: in at a part of its weight, rising
+const serving, resting state = 8, 16         // resting: listed as ready, withdrawn by us
 
 const allHeard, windowOver, turn, atRisk, left input = 1, 2, 4, 8, 16
 const listed, started, drains, gone, failing, eased, rested, askAgain input = 1, 2, 4, 8, 16, 32, 64, 128
@@ -54,9 +52,9 @@
 
 var replicaMoves = []move[*replica]{
 	{away | draining, listed, serving, (*Governor).settle},
-	{away | draining | member, started, easing, (*Governor).ease},
-	{away | member, drains, draining, (*Governor).settle},
-	{draining | member, gone, away, (*Governor).settle},
+	{away | draining | easing | serving | resting, started, easing, (*Governor).ease},
+	{away | easing | serving | resting, drains, draining, (*Governor).settle},
+	{draining | easing | serving | resting, gone, away, (*Governor).settle},
 	{easing | serving, failing, resting, (*Governor).rest},
 	{easing, eased, serving, (*Governor).settle},
 	{resting, rested, easing, (*Governor).ease},
@@ -69,78 +67,36 @@
 
 // apply reads one input; what no row names changes nothing.
 func apply[X any](g *Governor, rows []move[X], s *state, on input, x X) {
-	for _, m := range rows {
-		if m.from&*s != 0 && m.on&on != 0 {
-			*s = m.to
-			m.do(g, x)
-			return
-		}
+	i := slices.IndexFunc(rows, func(m move[X]) bool { return m.from&*s != 0 && m.on&on != 0 })
+	if i >= 0 {
+		*s = rows[i].to
+		rows[i].do(g, x)
 	}
 }
 
-// sums are counts of tries with the time of the good ones, over a span; folding decays what was there.
-type sums struct{ tries, good, errored, latency, span float64 }
-
-func (d *sums) fold(n sums, keep float64) {
-	d.tries, d.good, d.errored = d.tries*keep+n.tries, d.good*keep+n.good, d.errored*keep+n.errored
-	d.latency, d.span = d.latency*keep+n.latency, d.span*keep+n.span
-}
-
-// line is a replica's place in a zone's table, and what that zone's proxies met there.
-type line struct {
-	weight, next float64 // as ordered, 0 for no line; to be ordered
-	seen, fresh  sums    // over about ten reports; since the last
-}
-
-type replica struct {
-	id                  fleet.ReplicaID
-	zone                int
-	state               state
-	since, easedAt      fleet.Micros
-	lines               []line // by table
-	all, brief          sums   // of all zones, over about ten reports and two
-	busy                float64
-	busyAt              fleet.Micros
-	quiet, rests, stamp int  // reports in a row without a line though some were due; rests in a row; for dueTime
-	heard, cutDue, told bool // named in a report; its quarter is to be sent; its withdrawal was sent
-}
-
-type proxy struct {
-	id          fleet.ProxyID
-	zone, lines int // lines in the reply being written
-	state       state
-	unacked     []message
-	sent        []fleet.Micros
-}
-
-type message struct{ number, lines int }
-
-// dueTime is an input that comes at a set time; a replica's only while its stamp stands.
-type dueTime struct {
-	at    fleet.Micros
-	on    input
-	r     *replica // nil: for the governor itself
-	stamp int
-}
-
 // Governor is one instance.
 type Governor struct {
-	terms                            fleet.Terms
-	host                             fleet.Host
-	now, foldedAt, solvedAt, admitAt fleet.Micros
-	gate                             state
-	replicas                         []*replica
-	byID                             map[fleet.ReplicaID]*replica
-	proxies                          []*proxy
-	byProxy                          map[fleet.ProxyID]*proxy
-	laid                             []int // zones whose table stands, in order
-	due                              []dueTime
-	unacked, askFails, receipt       int
-	way                              fleet.Way // when proxies try again, as ordered
-	renew, beaten                    bool      // a proxy joined; the timer rang
-	shares, told                     []float64 // let in, by operation; as ordered
-	order                            []int     // operations, the one that brings least for its time first
-	came, objective, stress          float64   // tries since the last report; mean objective; see gauge
+	terms                       fleet.Terms
+	host                        fleet.Host
+	now, joinedAt               fleet.Micros
+	foldedAt, solvedAt, admitAt fleet.Micros
+	gate                        state
+	replicas                    []*replica
+	byID                        map[fleet.ReplicaID]*replica
+	proxies, written            []*proxy // joined; reached by the reply being written
+	byProxy                     map[fleet.ProxyID]*proxy
+	tables                      []*table
+	zones                       [][]*table // the same by zone
+	width, turn                 int        // lines that a table needs; the table that the next solve starts with
+	due                         []dueTime
+	unacked, receipt, chances   int
+	way                         fleet.Way // when proxies try again, as ordered
+	beaten, changed             bool      // the timer rang; a proxy joined or a replica's state changed
+	shares, told                []float64 // let in, by operation; as ordered
+	far                         []float64 // what far replicas count for, by zone
+	cheap                       []int     // operations, the one that brings least for its time first
+	came, rate                  float64   // tries since the last report; tries remembered, by time
+	objective, stress           float64   // mean objective; see learn
 }
 
 // New makes a governor, subscribes it to the list and starts its gate's window.
@@ -148,13 +104,13 @@
 	const window = 10 * fleet.Second // the start window is the design's default
 	g := &Governor{terms: t, host: host, now: now, foldedAt: now, gate: shut, way: fleet.WhenUnrun,
 		byID: map[fleet.ReplicaID]*replica{}, byProxy: map[fleet.ProxyID]*proxy{},
-		told: make([]float64, len(t.Operations))}
+		told: make([]float64, len(t.Operations)), far: make([]float64, t.Zones), zones: make([][]*table, t.Zones)}
 	for i, op := range t.Operations {
-		g.shares, g.order = append(g.shares, t.AdmitAll), append(g.order, i)
+		g.shares, g.cheap = append(g.shares, t.AdmitAll), append(g.cheap, i)
 		g.objective += float64(op.Objective) / float64(len(t.Operations))
 	}
 	worth := func(i int) float64 { return t.Operations[i].Value / float64(t.Operations[i].Objective) }
-	sort.SliceStable(g.order, func(i, j int) bool { return worth(g.order[i]) < worth(g.order[j]) })
+	sort.SliceStable(g.cheap, func(i, j int) bool { return worth(g.cheap[i]) < worth(g.cheap[j]) })
 	g.after(window, dueTime{on: windowOver})
 	if t.Subscribe {
 		host.Follow()
@@ -167,30 +123,23 @@
 // beat is the one timer: five to a report, so that a round of binds takes about one report.
 func (g *Governor) beat() fleet.Micros { return max(g.terms.Period/5, 50*fleet.Millisecond) }
 
-func (g *Governor) after(span fleet.Micros, d dueTime) {
-	d.at = g.now + span
-	i := sort.Search(len(g.due), func(i int) bool { return g.due[i].at > d.at })
-	g.due = slices.Insert(g.due, i, d)
-}
-
-// Listed takes news of the list. After a failure it asks again, but not at once: that would add to the cause.
+// Listed takes news of the list. After a failure it asks again in a second: at once would add to the cause.
 func (g *Governor) Listed(now fleet.Micros, scope fleet.Scope, entries []fleet.Listing) {
 	g.now = now
 	if scope == fleet.Failed {
-		g.askFails = min(g.askFails+1, 4)
-		g.after(fleet.Micros(g.askFails)*fleet.Second/2, dueTime{on: askAgain})
+		g.after(fleet.Second, dueTime{on: askAgain})
 		return
 	}
-	g.askFails = 0
 	named := map[*replica]bool{}
 	for _, e := range entries {
 		r := g.byID[e.ID]
 		if r == nil {
-			r = &replica{id: e.ID, state: away, lines: make([]line, g.terms.Zones)}
+			r = &replica{id: e.ID, state: away}
 			g.byID[e.ID] = r
-			g.replicas = append(g.replicas, r)
+			// In an order by chance, so that governors fill their tables differently.
+			g.replicas = slices.Insert(g.replicas, g.chance(len(g.replicas)+1), r)
 		}
-		r.zone, named[r] = e.Zone, true
+		r.zone, named[r] = e.Zone%g.terms.Zones, true
 		switch {
 		case e.Life == fleet.Draining:
 			g.tell(r, drains)
@@ -216,7 +165,9 @@
 
 func (g *Governor) tell(r *replica, on input) {
 	from := r.state
-	if apply(g, replicaMoves, &r.state, on, r); from != r.state {
+	apply(g, replicaMoves, &r.state, on, r)
+	g.changed = true
+	if from != r.state {
 		g.host.Log(fmt.Sprintf("replica %v:%d zone %d %s", r.id.Addr, r.id.Port, r.zone, inputNames[on]))
 	}
 }
@@ -226,12 +177,12 @@
 
 func (g *Governor) settle(r *replica) { r.stamp, r.rests = r.stamp+1, 0 }
 
-// ease starts a replica at a quarter, knowing nothing of it.
+// ease starts a replica at a quarter, knowing nothing of it. It may stand in our tables at full weight.
 func (g *Governor) ease(r *replica) {
 	r.stamp++
-	r.easedAt, r.cutDue, r.quiet, r.all, r.brief = g.now, true, 0, sums{}, sums{}
-	for i := range r.lines {
-		r.lines[i].seen = sums{}
+	r.easedAt, r.heardAt, r.fresh, r.all, r.brief = g.now, g.now, sums{}, sums{}, sums{}
+	for _, l := range r.lines {
+		l.cut = l.weight > 0
 	}
 	g.after(easeSpan, dueTime{on: eased, r: r, stamp: r.stamp})
 }
@@ -259,17 +210,14 @@
 // in untold tables at full weight, and in a jam, as proxies that avoid what fails would all run to it.
 func (g *Governor) out(r *replica) bool {
 	cold := r.state == easing && g.now-r.since < g.terms.Cold
-	return r.state&(easing|serving) == 0 || cold && (g.gate == shut || g.terms.Avoids && g.stress > jammed)
+	return !r.in() || cold && (g.gate == shut || g.terms.Avoids && g.stress > jammed)
 }
 
 // Joined takes a proxy whose stream is established. It may hold old withdrawals, and not know ours.
-func (g *Governor) Joined(now fleet.Micros, id fleet.ProxyID, zone int) {
+func (g *Governor) Joined(now fleet.Micros, id fleet.ProxyID, zone int, usual float64) {
 	g.Left(now, id)
-	if zone >= g.terms.Zones {
-		zone = 0
-	}
-	p := &proxy{id: id, zone: zone, state: loose}
-	g.byProxy[id], g.proxies, g.renew = p, append(g.proxies, p), true
+	p := &proxy{id: id, zone: zone % g.terms.Zones, usual: usual, state: loose}
+	g.byProxy[id], g.proxies, g.changed, g.joinedAt = p, append(g.proxies, p), true, now
 }
 
 // Left takes the end of a proxy's stream; what it had not acknowledged is lost.
@@ -283,7 +231,14 @@
 func (g *Governor) forget(p *proxy) {
 	g.acknowledge(p, len(p.unacked))
 	delete(g.byProxy, p.id)
-	g.proxies = slices.DeleteFunc(g.proxies, func(q *proxy) bool { return q == p })
+	other := func(q *proxy) bool { return q == p }
+	g.proxies = slices.DeleteFunc(g.proxies, other)
+	g.written = slices.DeleteFunc(g.written, other)
+	g.unacked -= p.lines
+	if p.table != nil {
+		p.table.users = slices.DeleteFunc(p.table.users, other)
+		p.table.usual -= p.usual
+	}
 }
 
 func (g *Governor) acknowledge(p *proxy, n int) {
@@ -305,17 +260,18 @@
 func (g *Governor) Heard(now fleet.Micros, s fleet.Sum) {
 	g.now = now
 	r := g.byID[s.Replica]
-	if r == nil || s.Tries <= 0 || s.Span <= 0 || s.Errored < 0 || s.Errored > s.Tries || s.Latency < 0 ||
-		s.Zone >= len(r.lines) {
+	if r == nil || s.Tries <= 0 || s.Span <= 0 || s.Errored < 0 || s.Errored > s.Tries || s.Latency < 0 {
 		return
 	}
-	g.came, r.heard = g.came+float64(s.Tries), true
+	if r.heard = true; r.all.span == 0 && r.fresh.tries == 0 {
+		r.heardAt = now - s.Span
+	}
 	if k := g.terms.BusyField; k >= 0 && k < len(s.Report) && s.Report[k] >= 0 {
 		r.busy, r.busyAt = min(s.Report[k], 1), now
 	}
 	good := float64(s.Tries - s.Errored)
-	n := sums{float64(s.Tries), good, float64(s.Errored), good * float64(s.Latency), float64(s.Span)}
-	r.lines[s.Zone].fresh.fold(n, 1)
+	r.fresh.fold(sums{float64(s.Tries), good, float64(s.Errored), good * float64(s.Latency), 0}, 1)
+	g.came += float64(s.Tries)
 }
 
 // Rang takes the one timer.
@@ -343,49 +299,25 @@
 // begin opens the gate. Tables are laid when their first proxy is bound, with what was learnt by then.
 func (g *Governor) begin(*Governor) { g.host.Log("gate open") }
 
-// learn folds one report in, with the design's memory of about ten, then judges by it.
+// learn folds in what reports brought, with the design's memory of about ten, and judges by it. Where fewer
+// lines may come in than there are replicas, one covers several periods: rates go by the time since the last.
+// Stress is the time of tries over the objective, an error as half again the objective, at the median
+// replica; and, where reported, the work seen of late over the room of those that stay in: a drain shows
+// there first.
 func (g *Governor) learn() {
-	const memory = 10
+	const memory, full = 10, 0.85 // full is the level of work that sheds
 	waiting := false
-	present := g.came * memory / max(g.came*memory, g.total(func(r *replica) sums { return r.all }).tries)
+	work, room, paces := 0.0, 0.0, []float64{}
 	for _, r := range g.replicas {
-		var sum sums
-		for i := range r.lines {
-			l := &r.lines[i]
-			l.fresh.span = max(l.fresh.span, float64(g.terms.Period))
-			sum.fold(l.fresh, 1)
-			l.seen.fold(l.fresh, 1-1.0/memory)
-			l.fresh = sums{}
-		}
-		// One and a half tries due at the present traffic: two reports without any are then no chance.
-		if sum.tries > 0 || r.all.tries/memory*present < 1.5 {
-			r.quiet = 0
-		} else {
-			r.quiet++
-		}
-		r.all.fold(sum, 1-1.0/memory)
-		r.brief.fold(sum, 0.5)
-		waiting = waiting || r.state&member != 0 && !r.heard
-	}
-	if !waiting {
-		apply(g, gateMoves, &g.gate, allHeard, g)
-	}
-	g.gauge()
-	if g.gate == open {
-		g.judge()
-	}
-	g.admit()
-}
-
-// gauge takes the fleet's stress: time of tries over the objective, an error as half again the objective, at
-// the median replica, so that a few jammed ones do not count as all. Where replicas report busy cores, the
-// work seen of late over the room of those that stay in counts too, 85% as the level that sheds: a drain or
-// a cold start shows there before it shows in latency.
-func (g *Governor) gauge() {
-	var work, room float64
-	var paces []float64
-	for _, r := range g.replicas {
-		if b := r.brief; r.state&member != 0 && b.tries >= 1 {
+		waiting = waiting || r.member() && !r.heard
+		if r.fresh.tries > 0 {
+			r.fresh.span = float64(g.now - r.heardAt)
+			periods := max(r.fresh.span/float64(g.terms.Period), 1)
+			r.all.fold(r.fresh, math.Pow(1-1.0/memory, periods))
+			r.brief.fold(r.fresh, math.Pow(0.5, periods))
+			r.fresh, r.heardAt = sums{}, g.now
+		}
+		if b := r.brief; r.member() && b.tries > 0 {
 			paces = append(paces, (b.latency/g.objective+1.5*b.errored)/b.tries)
 		}
 		// Three seconds: reports of a few periods, so that what has just left is still counted.
@@ -400,22 +332,29 @@
 		g.stress = paces[len(paces)/2]
 	}
 	if room > 0 {
-		g.stress = max(g.stress, sheds*work/room/0.85)
+		g.stress = max(g.stress, sheds*work/room/full)
+	}
+	if !waiting {
+		apply(g, gateMoves, &g.gate, allHeard, g)
 	}
+	if g.gate == open {
+		g.judge()
+	}
+	g.admit()
 }
 
 // admit lets the cheapest operation in less while the fleet is short, and more again once it is calm. It
 // covers any shortage, whatever made it; it hurts if replicas are slow by nature yet not full.
 func (g *Governor) admit() {
-	// Some of each operation stays, to see its speed. A step shows in sums a second or two later: the next
-	// cut waits for that, the next rise half as long.
+	// Some of each operation stays, to see its speed. A step shows in sums a second or two later: the next cut
+	// waits for that, the next rise half as long.
 	const calm, floor, pause = 0.4, 0.1, 2 * fleet.Second
-	for k := 0; k < len(g.order) && g.terms.Admits && g.now >= g.admitAt; k++ {
-		if s := &g.shares[g.order[k]]; g.stress > sheds && *s > floor {
+	for k := 0; k < len(g.cheap) && g.terms.Admits && g.now >= g.admitAt; k++ {
+		if s := &g.shares[g.cheap[k]]; g.stress > sheds && *s > floor {
 			*s, g.admitAt = max(floor, *s*max(0.6, sheds/g.stress)), g.now+pause
 			break
 		}
-		if s := &g.shares[g.order[len(g.order)-1-k]]; g.stress < calm && *s < 1 {
+		if s := &g.shares[g.cheap[len(g.cheap)-1-k]]; g.stress < calm && *s < 1 {
 			*s, g.admitAt = min(1, *s*min(1.6, 0.9*calm/g.stress)+0.02), g.now+pause/2
 			break
 		}
@@ -425,10 +364,9 @@
 		way = fleet.Never
 	}
 	for i, s := range g.shares {
-		if (way != g.way || math.Abs(s-g.told[i]) >= 0.03) && g.fits(g.proxies, len(g.shares), 0.5, 3) {
+		if (way != g.way || math.Abs(s-g.told[i]) >= 0.03) && g.pay(g.proxies, len(g.shares), 0.5, 3) {
 			g.way = way
 			g.sendLevels()
-			g.charge(g.proxies, len(g.shares))
 			return
 		}
 	}
@@ -443,185 +381,237 @@
 	}
 }
 
-func (g *Governor) count(of func(*replica) bool) (n int) {
+// judge tells replicas that answer nothing: silent machines, crashes not yet listed, cut links. One shows
+// first as errors, then as no lines at all; late sums leave all quiet alike and an overloaded fleet errs
+// alike, so it is judged beside the others. With a third of the fleet out the rest stay in, or those still
+// answering tip over.
+func (g *Governor) judge() {
+	var all sums
+	var ages []fleet.Micros
 	for _, r := range g.replicas {
-		if of(r) {
-			n++
+		if r.in() {
+			all.fold(r.brief, 1)
 		}
-	}
-	return n
-}
-
-// total adds sums of the replicas that have lines.
-func (g *Governor) total(of func(*replica) sums) (t sums) {
-	for _, r := range g.replicas {
-		if r.state&member != 0 {
-			t.fold(of(r), 1)
+		if r.in() && r.due > 0 {
+			ages = append(ages, g.now-r.heardAt)
 		}
 	}
-	return t
-}
-
-// judge tells replicas that answer nothing. A silent one shows first as errors, then as no lines at all;
-// sums that come late leave all quiet alike, and an overloaded fleet errs alike, so a replica is judged
-// against the others. It covers silent machines, crashes not yet listed and cut links; where a third of the
-// fleet is out, the rest are left in, since those still answering must not tip over.
-func (g *Governor) judge() {
-	in := func(r *replica) bool { return r.state&(easing|serving) != 0 }
+	slices.Sort(ages)
+	present := min(1, g.came/max(float64(g.now-g.foldedAt)*g.rate, 1e-9))
 	out := g.count(func(r *replica) bool { return r.state == resting })
-	ready := out + g.count(in)
-	heard := g.count(func(r *replica) bool { return in(r) && r.quiet == 0 })
-	fleetSum := g.total(func(r *replica) sums { return r.brief })
+	ready := out + g.count((*replica).in)
 	for _, r := range g.replicas {
-		b := r.brief
-		others := (fleetSum.errored - b.errored) / max(fleetSum.tries-b.tries, 1)
+		if !r.in() || g.stress >= jammed || (out+1)*3 > ready {
+			continue
+		}
+		b, age := r.brief, g.now-r.heardAt
+		others := (all.errored - b.errored) / max(all.tries-b.tries, 1)
 		// Nine tries in ten, three times the others' share, on three errors: overload rarely gets there.
 		bad := b.errored >= 3 && b.errored >= 0.9*b.tries && b.errored >= 3*others*b.tries
-		silent := r.quiet >= 2 && heard*2 > ready-out
-		if in(r) && (bad || silent) && g.stress < jammed && (out+1)*3 <= ready {
+		// All have had a line within twice the median age; five tries due by then are no chance.
+		due := r.all.tries / max(r.all.span, 1) * present * float64(age)
+		if bad || r.due > 0 && due >= 5 && age > 2*(ages[len(ages)/2]+g.terms.Period) {
 			out++
 			g.tell(r, failing)
 		}
 	}
 }
 
-// far is what a replica of another zone counts for beside a near one. A crossing costs its price for sure, so
-// it starts low; sixty times the price lies between what quiet and what jammed days want. It gives way as the
-// fleet nears the level that sheds, where near ones are slower, and while a third of it is not in full.
-func (g *Governor) far(zone int, all sums) float64 {
-	base := 1 / (1 + 60*g.terms.CrossPrice)
-	near := g.total(func(r *replica) sums {
-		if r.zone != zone {
-			return sums{}
-		}
-		return r.all
-	})
-	if near.good < 1 || all.good-near.good < 1 {
-		return base
-	}
-	members := g.count(func(r *replica) bool { return r.state&member != 0 })
-	short := 1 - float64(g.count(func(r *replica) bool { return r.state == serving }))/float64(members)
-	ratio := near.latency / near.good / max((all.latency-near.latency)/(all.good-near.good), 1)
-	calm := min(max(2-2*g.stress/sheds, 0), 1) * max(0, 1-3*short)
-	return min(max(math.Pow(base, calm)*ratio, base), 1)
-}
-
-// target works out a table's weights by the design: served rate times the fleet's mean latency over the
-// replica's own, the unheard as average, a started one at its part. The rate counts by the root of its ratio
-// to the average, or a weight would feed on the traffic that it drew; the little heard leans to the average.
-func (g *Governor) target(zone int) {
-	fleetSum := g.total(func(r *replica) sums { return r.all })
-	far := g.far(zone, fleetSum)
-	prior := func(r *replica) float64 {
-		if r.zone == zone {
-			return 1
-		}
-		return far
-	}
-	rates, priors := 0.0, 0.0
+// prior is a line's weight before anything is learnt of the replica's speed.
+func (g *Governor) prior(l *line) float64 {
+	if !l.r.member() {
+		return 0
+	} else if l.r.zone == l.t.zone {
+		return g.part(l.r)
+	}
+	return g.part(l.r) * g.far[l.t.zone]
+}
+
+// weigh works out what replicas can take by the design: served rate times the fleet's mean latency over the
+// replica's own, the unheard as average. The rate counts beside what the priors of its lines are due, and by
+// the root, or a weight would feed on the traffic that it drew; the little heard leans to the average.
+func (g *Governor) weigh() {
+	var all sums
+	members, full := 0.0, 0.0
+	near := make([]sums, g.terms.Zones)
+	g.rate = 0
 	for _, r := range g.replicas {
-		if l := r.lines[zone].seen; r.state == serving && l.span > 0 {
-			rates += l.good / l.span
-			priors += prior(r)
+		if r.due = 0; r.member() {
+			all.fold(r.all, 1)
+			near[r.zone].fold(r.all, 1)
+			g.rate += r.all.tries / max(r.all.span, 1)
+			if members++; r.state == serving {
+				full++
+			}
 		}
 	}
-	mean := fleetSum.latency / max(fleetSum.good, 1)
-	for _, r := range g.replicas {
-		l := &r.lines[zone]
-		l.next = 0
-		if r.state&member == 0 {
-			continue
+	// A crossing costs its price for sure: sixty times that lies between what quiet and what jammed days want.
+	// It gives way near the level that sheds, where near ones are slower, and while a third is not in full.
+	base := 1 / (1 + 60*g.terms.CrossPrice)
+	calm := min(max(2-2*g.stress/sheds, 0), 1) * max(0, 3*full/max(members, 1)-2)
+	for zone, n := range near {
+		if g.far[zone] = base; n.good >= 1 && all.good-n.good >= 1 {
+			ratio := n.latency / n.good / max((all.latency-n.latency)/(all.good-n.good), 1)
+			g.far[zone] = min(max(math.Pow(base, calm)*ratio, base), 1)
+		}
+	}
+	usual := 0.0
+	for _, t := range g.tables {
+		priors := 1e-9
+		for _, l := range t.lines {
+			priors += g.prior(l)
 		}
-		l.next = prior(r) * g.part(r)
-		speed := 1.0
-		if r.all.good >= 1 && r.all.latency > 0 {
-			speed = mean / (r.all.latency / r.all.good)
+		for _, l := range t.lines {
+			l.r.due += t.usual * g.prior(l) / priors
 		}
-		if r.state == easing && r.all.good >= 3 {
+		usual += t.usual
+	}
+	for _, r := range g.replicas {
+		r.draws = 1
+		if r.member() && r.all.good >= 1 && r.all.latency > 0 {
+			r.draws = all.latency / all.good / (r.all.latency / r.all.good)
+		}
+		if r.state == easing {
 			// What it serves follows from its part, so only latency tells its speed, up to twice.
-			l.next *= min(2, speed)
-		} else if r.state != easing && l.seen.span > 0 && rates > 0 {
-			// Ten tries weigh as much as the average does: below that a mean latency says little.
-			const doubt = 10.0
-			rate := l.seen.good / l.seen.span / rates * priors
-			l.next = (math.Sqrt(rate*l.next)*speed*l.seen.tries + l.next*doubt) / (l.seen.tries + doubt)
+			r.draws = min(2, r.draws)
+		} else if r.due > 0 && g.rate > 0 && r.all.span > 0 {
+			r.draws *= math.Sqrt(r.all.good / r.all.span / g.rate * usual / r.due)
 		}
+		// Ten tries weigh as much as the average does: below that a mean latency says little.
+		r.draws = (r.draws*r.all.tries + 10) / (r.all.tries + 10)
 	}
 }
 
-// Settle sends what this moment calls for; withdrawals go first, and each proxy reached answers.
-func (g *Governor) Settle(now fleet.Micros) {
-	g.now = now
-	g.withdraw()
-	g.bindTurn()
-	g.cut()
-	g.solve()
-	g.beaten = false
-	asked := false
+// lay makes a zone's tables. A line costs a proxy a connection, and a handshake whenever it idles: it is
+// wanted while tries come to it at a third of the idle span or faster, and while all proxies take no more
+// than a quarter of the connections of the smallest replica. Eight at least, so that losing a few leaves
+// most; two thirds near.
+func (g *Governor) lay(zone int) {
+	const least = 8
+	usual, n := 0.0, float64(len(g.replicas))
 	for _, p := range g.proxies {
-		if p.lines == 0 {
-			continue
+		usual += p.usual / float64(len(g.proxies))
+	}
+	tries := usual * float64(g.terms.IdleSpan) / float64(3*fleet.Second)
+	conns := n / 4 * float64(g.terms.ConnsLeast) / float64(max(g.terms.Proxies, 1))
+	if g.width = max(len(g.replicas), 1); tries > 0 && conns > 0 {
+		g.width = int(min(max(least, min(tries, conns)), float64(g.width)))
+	}
+	near := g.count(func(r *replica) bool { return r.zone == zone && r.member() })
+	for range max(1, (3*near+g.width)/(2*g.width)) {
+		t := &table{id: fleet.TableID(len(g.tables)), zone: zone}
+		g.tables, g.zones[zone] = append(g.tables, t), append(g.zones[zone], t)
+	}
+	g.fill(zone)
+	g.weigh()
+	for _, t := range g.zones[zone] {
+		g.order(t, 1, 0, func(*line) bool { return true })
+	}
+}
+
+// fill gives the zone's shortest table one more line, until all have enough and each near replica is in one.
+// Those with the fewest lines in the zone come first, near ones before others, then the fewest in all.
+func (g *Governor) fill(zone int) {
+	for len(g.zones[zone]) > 0 {
+		t := slices.MinFunc(g.zones[zone], func(a, b *table) int { return a.open() - b.open() })
+		var pick *replica
+		best := 0
+		for _, r := range g.replicas {
+			score, there := len(r.lines), false
+			for _, l := range r.lines {
+				if there = there || l.t == t; l.t.zone == zone {
+					score += 2000
+				}
+			}
+			if r.zone != zone {
+				score += 1000
+			}
+			if r.in() && !there && (pick == nil || score < best) {
+				pick, best = r, score
+			}
 		}
-		if !asked {
-			asked, g.receipt = true, (g.receipt+1)%65536
-			g.host.Receipt(uint32(g.receipt))
+		if pick == nil || t.open() >= g.width && best >= 1000 {
+			return
 		}
-		p.unacked = append(p.unacked, message{g.receipt, p.lines})
-		p.sent = append(p.sent, g.now)
-		g.unacked += p.lines
-		p.lines = 0
+		l := &line{r: pick, t: t}
+		t.lines, pick.lines = append(t.lines, l), append(pick.lines, l)
 	}
 }
 
-// price is what lines for a proxy add to the queue: a new message brings its head, receipt and levels.
-func (g *Governor) price(p *proxy, lines int) int {
-	if p.lines > 0 {
-		return lines
+// Settle sends what this moment calls for; each proxy reached answers.
+func (g *Governor) Settle(now fleet.Micros) {
+	g.now = now
+	if g.beaten || g.changed {
+		g.bindTurn()
+		g.withdraw()
+		g.solve()
+		g.beaten, g.changed = false, false
+	}
+	if len(g.written) > 0 {
+		g.receipt = (g.receipt + 1) % 65536
+		g.host.Receipt(uint32(g.receipt))
+	}
+	for _, p := range g.written {
+		p.unacked, p.sent = append(p.unacked, message{g.receipt, p.lines}), append(p.sent, g.now)
+		p.lines = 0
 	}
-	return lines + g.terms.Overhead + 1 + len(g.shares)
+	g.written = nil
 }
 
-// fits tells whether lines for some proxies may be ordered now. The channel may be slower than told, so all
-// that is not acknowledged counts as queued; spare messages at a proxy are kept for what is more urgent.
-func (g *Governor) fits(proxies []*proxy, lines int, most float64, spare int) bool {
-	total := g.unacked
-	for _, p := range g.proxies {
-		total += p.lines
-	}
+// pay books lines for some proxies if they may be ordered now. The channel may be slower than told, so all
+// that is not acknowledged counts as queued. Spare messages at a proxy are kept for what is more urgent.
+func (g *Governor) pay(proxies []*proxy, lines int, most float64, spare int) bool {
+	head, total := g.terms.Overhead+1+len(g.shares), g.unacked
 	for _, p := range proxies {
-		total += g.price(p, lines)
-		for len(p.sent) > 0 && g.now-p.sent[0] > g.terms.MessagesSpan {
-			p.sent = p.sent[1:]
+		if total += lines; p.lines > 0 {
+			continue
 		}
-		if g.terms.MessagesMost > 0 && p.lines == 0 && len(p.sent)+spare >= g.terms.MessagesMost {
+		total += head
+		p.sent = slices.DeleteFunc(p.sent, func(at fleet.Micros) bool { return g.now-at > g.terms.MessagesSpan })
+		if g.terms.MessagesMost > 0 && len(p.sent)+spare >= g.terms.MessagesMost {
 			return false
 		}
 	}
-	return float64(total) <= most*float64(g.terms.QueueMost)
+	if len(proxies) > 0 && float64(total) > most*float64(g.terms.QueueMost) {
+		return false
+	}
+	for _, p := range proxies {
+		if p.lines == 0 {
+			p.lines, g.written = head, append(g.written, p)
+		}
+		p.lines += lines
+	}
+	g.unacked = total
+	return true
 }
 
-func (g *Governor) charge(proxies []*proxy, lines int) {
-	for _, p := range proxies {
-		p.lines += g.price(p, lines)
+// shutOut orders a replica out, or back in, if that fits all proxies that may hold a line to it.
+func (g *Governor) shutOut(r *replica, out bool, most float64, spare int) {
+	var holders []*proxy
+	for _, p := range g.proxies {
+		if p.table == nil || slices.ContainsFunc(r.lines, func(l *line) bool { return l.t == p.table }) {
+			holders = append(holders, p)
+		}
+	}
+	if g.pay(holders, 1, most, spare) {
+		g.host.Withdraw(r.id, out)
+		r.told, r.toldAt = out, g.now
 	}
 }
 
-// withdraw shuts replicas out for all joined proxies, and again when one has joined. Letting back in waits
-// for a solve. If none is left in, those that rest come back: a bare proxy is worse than one that errs.
+// withdraw shuts replicas out for all joined proxies, and again on a beat that leaves a later one unbound. If
+// none is left in, those that rest come back: a bare proxy is worse than one that errs.
 func (g *Governor) withdraw() {
-	if g.count(g.out) == len(g.replicas) {
-		for _, r := range g.replicas {
+	none := g.count(g.out) == len(g.replicas)
+	untold := g.beaten && slices.ContainsFunc(g.proxies, func(p *proxy) bool { return p.state == loose })
+	for _, r := range g.replicas {
+		if none {
 			g.tell(r, rested)
 		}
-	}
-	for _, r := range g.replicas {
-		if g.out(r) && (!r.told || g.renew) && g.fits(g.proxies, 1, 0.9, 1) {
-			g.host.Withdraw(r.id, true)
-			g.charge(g.proxies, 1)
-			r.told = true
+		if g.out(r) && (!r.told || untold && r.toldAt <= g.joinedAt) {
+			g.shutOut(r, true, 0.9, 1)
 		}
 	}
-	g.renew = g.renew && !g.fits(g.proxies, 1, 0.9, 1) // what found no room is said later
 }
 
 // bindTurn binds a fifth of the proxies a beat once the gate is open; before that only one that may be bare.
@@ -631,19 +621,19 @@
 		if p.state != loose {
 			continue
 		}
-		if g.gate == shut && g.bare(p) {
+		if g.gate == shut && g.bare(p.zone) && g.pay([]*proxy{p}, 2+2*g.width, 0.9, 1) {
 			apply(g, proxyMoves, &p.state, atRisk, p)
-		} else if g.gate == open && g.beaten && quota > 0 && g.fits([]*proxy{p}, 1+2*len(g.replicas), 0.5, 2) {
+		} else if g.gate == open && g.beaten && quota > 0 && g.pay([]*proxy{p}, 2+2*g.width, 0.5, 2) {
 			quota--
 			apply(g, proxyMoves, &p.state, turn, p)
 		}
 	}
 }
 
-// bare tells whether withdrawals may have emptied a proxy's standing table: it holds few lines, untold
-// which, of its zone if three replicas are there, else of all.
-func (g *Governor) bare(p *proxy) bool {
-	near := func(r *replica) bool { return r.zone == p.zone }
+// bare tells whether withdrawals may have emptied a standing table: it holds few lines, untold which, of its
+// proxy's zone if three replicas are there, else of all.
+func (g *Governor) bare(zone int) bool {
+	near := func(r *replica) bool { return r.zone == zone }
 	if g.count(near) < 3 {
 		near = func(*replica) bool { return true }
 	}
@@ -651,88 +641,71 @@
 	return out > 0 && g.count(g.out) < len(g.replicas) && out >= min(g.terms.StandingSize, g.count(near))
 }
 
-// bind puts a proxy on its zone's table, laying that first if it has no user yet.
+// bind puts a proxy on that of its zone's tables that has the least traffic for its open lines.
 func (g *Governor) bind(p *proxy) {
-	if !slices.Contains(g.laid, p.zone) {
-		g.laid = append(g.laid, p.zone)
-		slices.Sort(g.laid)
-		g.target(p.zone)
-		for _, r := range g.replicas {
-			g.assign(r, p.zone)
-		}
+	if g.zones[p.zone] == nil {
+		g.lay(p.zone)
 	}
-	g.host.Bind(p.id, fleet.TableID(p.zone))
-	g.charge([]*proxy{p}, 1+2*len(g.replicas))
+	load := func(t *table) float64 { return (t.usual + p.usual) / (float64(t.open()) + 0.1) }
+	t := slices.MinFunc(g.zones[p.zone], func(a, b *table) int { return cmp.Compare(load(a), load(b)) })
+	p.table, t.users, t.usual = t, append(t.users, p), t.usual+p.usual
+	g.host.Bind(p.id, t.id)
 }
 
-// assign orders a line if that changes it.
-func (g *Governor) assign(r *replica, zone int) int {
-	l := &r.lines[zone]
-	if l.next == l.weight {
-		return 0
-	}
-	l.weight = l.next
-	g.host.Assign(fleet.TableID(zone), r.id, l.weight)
-	return 1
-}
-
-// users gives the proxies bound to our tables.
-func (g *Governor) users() (users []*proxy) {
-	for _, p := range g.proxies {
-		if p.state == bound {
-			users = append(users, p)
+// order sends those of a table's lines that change and are asked for, if they fit.
+func (g *Governor) order(t *table, most float64, spare int, asked func(*line) bool) bool {
+	var lines []*line
+	for _, l := range t.lines {
+		l.next = g.prior(l) * l.r.draws
+		if asked(l) && l.next != l.weight {
+			lines = append(lines, l)
 		}
 	}
-	return users
+	if len(lines) > 0 && !g.pay(t.users, len(lines), most, spare) {
+		return false
+	}
+	for _, l := range lines {
+		l.weight, l.cut = l.next, false
+		g.host.Assign(t.id, l.r.id, l.weight)
+	}
+	return true
 }
 
-// cut sends a new quarter at once: a replica that restarted may stand in our tables at full weight.
-func (g *Governor) cut() {
-	for _, r := range g.replicas {
-		if !r.cutDue || !g.fits(g.users(), 1, 0.9, 1) {
-			continue
-		}
-		r.cutDue = false
-		for _, zone := range g.laid {
-			g.target(zone)
-			g.assign(r, zone)
-		}
-		g.charge(g.users(), 1)
+// step is the design's: a tenth at most, and none under 5%.
+func step(l *line) bool {
+	if l.weight == 0 || l.next == 0 {
+		return true
 	}
+	l.next = min(max(l.next, l.weight*0.9), l.weight*1.1)
+	return math.Abs(l.next-l.weight) >= 0.05*l.weight
 }
 
-// solve moves the weights once a report, within half of the messages that a proxy may get.
+// solve moves the weights once a report, within half of the messages that a proxy may get. Tables take turns:
+// the one that finds no room is the first next time. New quarters leave at once, and new lines where few are
+// left.
 func (g *Governor) solve() {
 	span := g.terms.Period
 	if g.terms.MessagesMost > 0 {
 		span = max(span, 2*g.terms.MessagesSpan/fleet.Micros(g.terms.MessagesMost))
 	}
-	if g.gate == shut || !g.beaten || g.now-g.solvedAt < span || !g.fits(g.users(), 2*len(g.replicas), 0.5, 3) {
-		return
-	}
-	g.solvedAt = g.now
-	lines := 0
+	due := g.gate == open && g.beaten && g.now-g.solvedAt >= span
 	for _, r := range g.replicas {
-		if r.told && !g.out(r) {
-			g.host.Withdraw(r.id, false)
-			r.told = false
-			lines++
+		if due && r.told && !g.out(r) {
+			g.shutOut(r, false, 0.5, 3)
 		}
 	}
-	for _, zone := range g.laid {
-		g.target(zone)
-		for _, r := range g.replicas {
-			if l := &r.lines[zone]; l.weight > 0 && l.next > 0 {
-				// The design's step of a tenth and dead band of 5%.
-				l.next = min(max(l.next, l.weight*0.9), l.weight*1.1)
-				if math.Abs(l.next-l.weight) < 0.05*l.weight {
-					l.next = l.weight
-				}
+	g.weigh()
+	for k := range g.tables {
+		t := g.tables[(g.turn+k)%len(g.tables)]
+		thin := t.open() < 3
+		if due || thin {
+			g.fill(t.zone)
+		}
+		if g.order(t, 0.9, 1, func(l *line) bool { return l.cut || thin && l.weight == 0 }); due {
+			g.solvedAt = g.now
+			if due = g.order(t, 0.5, 3, step); !due {
+				g.turn += k
 			}
-			lines += g.assign(r, zone)
 		}
 	}
-	if lines > 0 {
-		g.charge(g.users(), min(lines, 2*len(g.replicas)))
-	}
 }
--- /dev/null
+++ b/decide/state.go
@@ -0,0 +1,108 @@
+package decide
+
+import (
+	"fmt"
+	"hash/fnv"
+	"slices"
+	"sort"
+
+	"peppervale/fleet"
+)
+
+// What a governor keeps of the fleet. Nothing is decided here.
+
+// sums are counts of tries with the time of the good ones, over a span; folding decays what was there.
+type sums struct{ tries, good, errored, latency, span float64 }
+
+func (d *sums) fold(n sums, keep float64) {
+	*d = sums{d.tries*keep + n.tries, d.good*keep + n.good, d.errored*keep + n.errored,
+		d.latency*keep + n.latency, d.span*keep + n.span}
+}
+
+// table is a shared table for a part of a zone's proxies.
+type table struct {
+	id    fleet.TableID
+	zone  int
+	lines []*line
+	users []*proxy
+	usual float64 // invocations a second that usually come to its users
+}
+
+// line is a replica's place in a table. Its weight is as ordered, 0 for not yet; next is to be ordered.
+type line struct {
+	r            *replica
+	t            *table
+	weight, next float64
+	cut          bool // a new quarter is to be sent at once
+}
+
+type replica struct {
+	id                      fleet.ReplicaID
+	zone                    int
+	state                   state
+	since, easedAt, heardAt fleet.Micros
+	lines                   []*line
+	fresh, all, brief       sums    // what proxies met there: since the last report, over ten, over two
+	busy, due, draws        float64 // cores in use; see weigh
+	busyAt                  fleet.Micros
+	rests, stamp            int  // rests in a row; for dueTime
+	heard, told             bool // named in a report; its withdrawal was sent, last at toldAt
+	toldAt                  fleet.Micros
+}
+
+type proxy struct {
+	id          fleet.ProxyID
+	zone, lines int // lines in the reply being written
+	usual       float64
+	state       state
+	table       *table
+	unacked     []message
+	sent        []fleet.Micros
+}
+
+type message struct{ number, lines int }
+
+// dueTime is an input that comes at a set time; a replica's only while its stamp stands.
+type dueTime struct {
+	at    fleet.Micros
+	on    input
+	r     *replica // nil: for the governor itself
+	stamp int
+}
+
+// open counts the lines that proxies may pick.
+func (t *table) open() (n int) {
+	for _, l := range t.lines {
+		if l.r.in() {
+			n++
+		}
+	}
+	return n
+}
+
+// member tells whether a replica has lines in our tables, in whether proxies may pick them.
+func (r *replica) member() bool { return r.state&(easing|serving|resting) != 0 }
+func (r *replica) in() bool     { return r.state&(easing|serving) != 0 }
+
+func (g *Governor) after(span fleet.Micros, d dueTime) {
+	d.at = g.now + span
+	i := sort.Search(len(g.due), func(i int) bool { return g.due[i].at > d.at })
+	g.due = slices.Insert(g.due, i, d)
+}
+
+func (g *Governor) count(of func(*replica) bool) (n int) {
+	for _, r := range g.replicas {
+		if of(r) {
+			n++
+		}
+	}
+	return n
+}
+
+// chance draws a number below n from the seed.
+func (g *Governor) chance(n int) int {
+	h := fnv.New64a()
+	g.chances++
+	fmt.Fprint(h, g.terms.Seed, " ", g.chances)
+	return int(h.Sum64() % uint64(n))
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -40,6 +40,7 @@
 
 // Terms holds the start settings that the governor reads.
 type Terms struct {
+	Seed         uint64 // of this instance's chance
 	Operations   []Operation
 	Zones        int
 	Subscribe    bool    // the list answers only those who ask
@@ -55,6 +56,9 @@
 	CrossPrice   float64
 	BusyField    int    // place in a load report of the share of its cores in use; -1: not reported
 	Cold         Micros // within which a started replica is warm
+	Proxies      int    // of all governors
+	ConnsLeast   int    // connections that the smallest replica accepts
+	IdleSpan     Micros // after which an unused connection is closed
 }
 
 // Life is what the list says of a replica.
--- a/simwire/terms.go
+++ b/simwire/terms.go
@@ -28,7 +28,12 @@
 		MessagesMost int     `json:"reloads_max"`
 		MessagesSpan float64 `json:"reload_span"`
 		Slices       int     `json:"slices"`
+		Proxies      int     `json:"proxies"`
+		ConnsLeast   float64 `json:"smallest_conn_table"`
 	} `json:"extra"`
+	Bounds struct {
+		ConnIdle float64 `json:"conn_idle"`
+	} `json:"bounds"`
 	Guarantees struct {
 		Cold float64 `json:"cold"`
 	} `json:"guarantees"`
@@ -44,7 +49,7 @@
 func micros(ms float64) fleet.Micros { return fleet.Micros(math.Round(ms * 1000)) }
 
 // Terms decodes the start settings; keys that it does not know are skipped.
-func Terms(text []byte) (fleet.Terms, error) {
+func Terms(seed uint64, text []byte) (fleet.Terms, error) {
 	var o options
 	if err := json.Unmarshal(text, &o); err != nil {
 		return fleet.Terms{}, fmt.Errorf("start settings: %w", err)
@@ -65,6 +70,7 @@
 		return fleet.Terms{}, errors.New("start settings: a cold time, price or overhead is below 0")
 	}
 	t := fleet.Terms{
+		Seed: seed, Proxies: x.Proxies, ConnsLeast: int(x.ConnsLeast), IdleSpan: micros(o.Bounds.ConnIdle),
 		Zones: len(o.Zones), Subscribe: o.Membership == "subscribe", Admits: x.Admission == "ratio",
 		AdmitAll: 1, Avoids: x.Ejects > 0, StandingSize: x.DefaultSize, Period: micros(x.Period),
 		Overhead: int(math.Ceil(x.Overhead)), QueueMost: int(x.PendingMax), MessagesMost: x.MessagesMost, MessagesSpan: micros(x.MessagesSpan),
