Start window of three reports; errors are stress only where good tries are slow

Holds against any cause of errors that is no overload; could hurt where full replicas turn away with short waiting rooms and report no busy cores. Also: a share within 0.03 of all was never sent as all; the log no longer drowns in replicas first listed.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -101,7 +101,9 @@
 
 // New makes a governor, subscribes it to the list and starts its gate's window.
 func New(t fleet.Terms, host fleet.Host, now fleet.Micros) *Governor {
-	const window = 10 * fleet.Second // the start window is the design's default
+	// The start window: a report is gathered in one period and comes in a second; a third serves replicas whose
+	// first line waits its turn. Who is unheard then stands in no table. The design's 10 s is the most.
+	window := min(3*t.Period, 10*fleet.Second)
 	g := &Governor{terms: t, host: host, now: now, foldedAt: now, gate: shut, way: fleet.WhenUnrun,
 		byID: map[fleet.ReplicaID]*replica{}, byProxy: map[fleet.ProxyID]*proxy{},
 		told: make([]float64, len(t.Operations)), far: make([]float64, t.Zones), zones: make([][]*table, t.Zones)}
@@ -167,7 +169,7 @@
 	from := r.state
 	apply(g, replicaMoves, &r.state, on, r)
 	g.changed = true
-	if from != r.state {
+	if from != r.state && on != listed { // hundreds of these would flood the log at start
 		g.host.Log(fmt.Sprintf("replica %v:%d zone %d %s", r.id.Addr, r.id.Port, r.zone, inputNames[on]))
 	}
 }
@@ -301,9 +303,8 @@
 
 // learn folds in what reports brought, with the design's memory of about ten, and judges by it. Where fewer
 // lines may come in than there are replicas, one covers several periods: rates go by the time since the last.
-// Stress is the time of tries over the objective, an error as half again the objective, at the median
-// replica; and, where reported, the work seen of late over the room of those that stay in: a drain shows
-// there first.
+// Stress is the time of good tries over the objective, more with errors, at the median replica; and, where
+// reported, the work seen of late over the room of those that stay in: a drain shows there first.
 func (g *Governor) learn() {
 	const memory, full = 10, 0.85 // full is the level of work that sheds
 	waiting := false
@@ -318,7 +319,13 @@
 			r.fresh, r.heardAt = sums{}, g.now
 		}
 		if b := r.brief; r.member() && b.tries > 0 {
-			paces = append(paces, (b.latency/g.objective+1.5*b.errored)/b.tries)
+			// Errors count as far as the good tries are slow: quick ones tell of replicas that fail, and letting in
+			// less helps none of them.
+			pace := 1.5
+			if b.good >= 1 {
+				pace = min(pace, b.latency/b.good/g.objective*(1+b.errored/b.tries))
+			}
+			paces = append(paces, pace)
 		}
 		// Three seconds: reports of a few periods, so that what has just left is still counted.
 		if g.now-r.busyAt < 3*fleet.Second {
@@ -364,7 +371,8 @@
 		way = fleet.Never
 	}
 	for i, s := range g.shares {
-		if (way != g.way || math.Abs(s-g.told[i]) >= 0.03) && g.pay(g.proxies, len(g.shares), 0.5, 3) {
+		moved := math.Abs(s-g.told[i]) >= 0.03 || s == 1 && g.told[i] < 1
+		if (way != g.way || moved) && g.pay(g.proxies, len(g.shares), 0.5, 3) {
 			g.way = way
 			g.sendLevels()
 			return
