--- a/decide/decide.go
+++ b/decide/decide.go
@@ -318,14 +318,12 @@
 			r.brief.fold(r.fresh, math.Pow(0.5, periods))
 			r.fresh, r.heardAt = sums{}, g.now
 		}
-		if b := r.brief; r.member() && b.tries > 0 {
-			// Errors count as far as the good tries are slow: quick ones tell of replicas that fail, and letting in
-			// less helps none of them.
-			pace := 1.5
-			if b.good >= 1 {
-				pace = min(pace, b.latency/b.good/g.objective*(1+b.errored/b.tries))
-			}
-			paces = append(paces, pace)
+		// Errors count as far as the good tries are slow: quick ones tell of replicas that fail, and letting in
+		// less helps none of them. Too few tries tell nothing, or a fleet shed to little stays shed.
+		if b := r.brief; r.member() && b.good >= 1 {
+			paces = append(paces, min(1.5, b.latency/b.good/g.objective*(1+b.errored/b.tries)))
+		} else if r.member() && b.errored >= 2 {
+			paces = append(paces, 1.5)
 		}
 		// Three seconds: reports of a few periods, so that what has just left is still counted.
 		if g.now-r.busyAt < 3*fleet.Second {
