Slow tries are stress only as far as the median replica reports busy cores

Told from overload by the reported busy cores; the median, so that a quarter of false reports does not decide. Covers any slowness that is not work. Could hurt where most reports are false, or where another program takes the cores and the report does not show it.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -308,7 +308,8 @@
 func (g *Governor) learn() {
 	const memory, full = 10, 0.85 // full is the level of work that sheds
 	waiting := false
-	work, room, paces := 0.0, 0.0, []float64{}
+	work, room := 0.0, 0.0
+	var paces, busy []float64
 	for _, r := range g.replicas {
 		waiting = waiting || r.member() && !r.heard
 		if r.fresh.tries > 0 {
@@ -327,15 +328,21 @@
 		}
 		// Three seconds: reports of a few periods, so that what has just left is still counted.
 		if g.now-r.busyAt < 3*fleet.Second {
-			work += r.busy * g.part(r)
+			work, busy = work+r.busy*g.part(r), append(busy, r.busy)
 		}
 		if !g.out(r) {
 			room += g.part(r)
 		}
 	}
-	if sort.Float64s(paces); len(paces) > 0 {
+	sort.Float64s(paces)
+	sort.Float64s(busy)
+	if len(paces) > 0 {
 		g.stress = paces[len(paces)/2]
 	}
+	if len(busy) > 0 {
+		// Tries may be slow for other reasons than full replicas: below 70% in use few of them wait.
+		g.stress *= min(1, busy[len(busy)/2]/0.7)
+	}
 	if room > 0 {
 		g.stress = max(g.stress, sheds*work/room/full)
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -321,6 +321,22 @@
 		})
 		failIf(t, h.shares[1] != 1 || h.shares[2] != 1, "shares %v", h.shares)
 	})
+	t.Run("none for tries that are slow though the cores idle, whatever a quarter of the reports says", func(t *testing.T) {
+		// Found by an incident: new connections took most of the objective, and shedding made each one new.
+		h := begin(t, 8, func(terms *fleet.Terms) { terms.BusyField = 0 })
+		h.run(12, h.all(8))
+		h.run(6, func() {
+			for k := 1; k <= 8; k++ {
+				busy := 0.2
+				if k <= 2 {
+					busy = 1
+				}
+				h.g.Heard(h.now, fleet.Sum{Replica: id(k), Tries: 10, Latency: 400 * fleet.Millisecond,
+					Span: fleet.Second, Report: []float64{busy}})
+			}
+		})
+		failIf(t, h.shares[1] != 1 || h.shares[2] != 1, "shares %v", h.shares)
+	})
 	t.Run("where proxies admit all, none is sent", func(t *testing.T) {
 		h := begin(t, 6, func(terms *fleet.Terms) { terms.Admits = false })
 		h.run(12, late(h))
