--- a/decide/decide.go
+++ b/decide/decide.go
@@ -93,7 +93,6 @@
 	way                         fleet.Way // when proxies try again, as ordered
 	beaten, changed             bool      // the timer rang; a proxy joined or a replica's state changed
 	shares, told                []float64 // let in, by operation; as ordered
-	far                         []float64 // what far replicas count for, by zone
 	cheap                       []int     // operations, the one that brings least for its time first
 	came, rate                  float64   // tries since the last report; tries remembered, by time
 	objective, stress           float64   // mean objective; see learn
@@ -106,7 +105,7 @@
 	window := min(3*t.Period, 10*fleet.Second)
 	g := &Governor{terms: t, host: host, now: now, foldedAt: now, gate: shut, way: fleet.WhenUnrun,
 		byID: map[fleet.ReplicaID]*replica{}, byProxy: map[fleet.ProxyID]*proxy{},
-		told: make([]float64, len(t.Operations)), far: make([]float64, t.Zones), zones: make([][]*table, t.Zones)}
+		told: make([]float64, len(t.Operations)), zones: make([][]*table, t.Zones)}
 	for i, op := range t.Operations {
 		g.shares, g.cheap = append(g.shares, t.AdmitAll), append(g.cheap, i)
 		g.objective += float64(op.Objective) / float64(len(t.Operations))
@@ -437,7 +436,7 @@
 	} else if l.r.zone == l.t.zone {
 		return g.part(l.r)
 	}
-	return g.part(l.r) * g.far[l.t.zone]
+	return g.part(l.r) * l.t.far
 }
 
 // weigh works out what replicas can take by the design: served rate times the fleet's mean latency over the
@@ -445,13 +444,11 @@
 // the root, or a weight would feed on the traffic that it drew; the little heard leans to the average.
 func (g *Governor) weigh() {
 	var all sums
-	members, full := 0.0, 0.0
-	near := make([]sums, g.terms.Zones)
+	members, full, usual := 0.0, 0.0, 0.0
 	g.rate = 0
 	for _, r := range g.replicas {
 		if r.due = 0; r.member() {
 			all.fold(r.all, 1)
-			near[r.zone].fold(r.all, 1)
 			g.rate += r.all.tries / max(r.all.span, 1)
 			if members++; r.state == serving {
 				full++
@@ -462,14 +459,19 @@
 	// It gives way near the level that sheds, where near ones are slower, and while a third is not in full.
 	base := 1 / (1 + 60*g.terms.CrossPrice)
 	calm := min(max(2-2*g.stress/sheds, 0), 1) * max(0, 3*full/max(members, 1)-2)
-	for zone, n := range near {
-		if g.far[zone] = base; n.good >= 1 && all.good-n.good >= 1 {
-			ratio := n.latency / n.good / max((all.latency-n.latency)/(all.good-n.good), 1)
-			g.far[zone] = min(max(math.Pow(base, calm)*ratio, base), 1)
-		}
-	}
-	usual := 0.0
 	for _, t := range g.tables {
+		var near, far sums
+		for _, l := range t.lines {
+			if l.r.member() && l.r.zone == t.zone {
+				near.fold(l.r.all, 1)
+			} else if l.r.member() {
+				far.fold(l.r.all, 1)
+			}
+		}
+		if t.far = base; near.good >= 1 && far.good >= 1 {
+			ratio := near.latency / near.good / max(far.latency/far.good, 1)
+			t.far = min(max(math.Pow(base, calm)*ratio, base), 1)
+		}
 		priors := 1e-9
 		for _, l := range t.lines {
 			priors += g.prior(l)
--- a/decide/state.go
+++ b/decide/state.go
@@ -26,6 +26,7 @@
 	lines []*line
 	users []*proxy
 	usual float64 // invocations a second that usually come to its users
+	far   float64 // what a replica of another zone counts for
 }
 
 // line is a replica's place in a table. Its weight is as ordered, 0 for not yet; next is to be ordered.
