Full replicas do not rest; the third at rest counts those that left of late

Told from broken ones by the good tries: a silent replica's last ones were in time, a full one's are late; the fleet is not calm then. Covers overload, zones lost, releases; hurts where a slow machine errs in a fleet that is short anyway.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -187,7 +187,7 @@
 
 // sheds is the stress from which less is let in: with half of the objective in the mean, the slower part is
 // late. Twice that is jammed: proxies run from full replicas to whatever still answers.
-const sheds, jammed = 0.5, 1.0
+const calm, sheds, jammed = 0.4, 0.5, 1.0
 
 // out tells whether a replica is shut out everywhere. A cold one is while the gate is shut, as it may stand
 // in untold tables at full weight, and while a table is jammed: proxies that avoid what fails would run to
@@ -269,8 +269,7 @@
 // reported, the work seen of late over the room of those that stay in: a drain shows there first.
 func (g *Governor) learn() {
 	const memory, full = 10, 0.85 // full is the level of work that sheds
-	waiting := false
-	work, room := 0.0, 0.0
+	waiting, work, room := false, 0.0, 0.0
 	var paces, busy []float64
 	for _, r := range g.replicas {
 		waiting = waiting || r.member() && !r.heard
@@ -321,7 +320,7 @@
 func (g *Governor) admit() {
 	// Some of each operation stays, to see its speed. A step shows in sums a second or two later: the next cut
 	// waits for that, the next rise half as long.
-	const calm, floor, pause = 0.4, 0.1, 2 * fleet.Second
+	const floor, pause = 0.1, 2 * fleet.Second
 	for k := 0; k < len(g.cheap) && g.terms.Admits && g.now >= g.admitAt; k++ {
 		if s := &g.shares[g.cheap[k]]; g.stress > sheds && *s > floor {
 			*s, g.admitAt = max(floor, *s*max(0.6, sheds/g.stress)), g.now+pause
@@ -359,8 +358,7 @@
 // first as errors, then as no lines at all; late sums leave all quiet alike and an overloaded fleet errs
 // alike, so it is judged beside the others. With a third out the rest stay in, or those that answer tip over.
 func (g *Governor) judge() {
-	var all sums
-	var ages []float64
+	all, ages := sums{}, []float64{}
 	for _, r := range g.replicas {
 		if r.in() {
 			all.fold(r.brief, 1)
@@ -371,7 +369,7 @@
 	}
 	usual := 2 * (median(ages) + float64(g.terms.Period))
 	present := min(1, g.came/max(float64(g.now-g.foldedAt)*g.rate, 1e-9))
-	out := g.count(func(r *replica) bool { return r.state == resting })
+	out := g.count(func(r *replica) bool { return !r.in() && g.now-r.heardAt < easeSpan })
 	ready := out + g.count((*replica).in)
 	for _, r := range g.replicas {
 		if !r.in() || g.stress >= jammed || (out+1)*3 > ready {
@@ -379,8 +377,10 @@
 		}
 		b, age := r.brief, float64(g.now-r.heardAt)
 		others := (all.errored - b.errored) / max(all.tries-b.tries, 1)
-		// Nine tries in ten, three times the others' share, on three errors: overload rarely gets there.
-		bad := b.errored >= 3 && b.errored >= 0.9*b.tries && b.errored >= 3*others*b.tries
+		// Nine tries in ten, three times the others' share, on three errors. While the fleet is not calm, one whose
+		// good tries are late is full, not broken: with it out, the rest would be full next.
+		bad := b.errored >= max(3, 0.9*b.tries, 3*others*b.tries) &&
+			(b.latency <= b.good*g.objective || g.stress < calm)
 		// All have had a line within twice the median age; five tries due by then are no chance.
 		due := r.all.tries / max(r.all.span, 1) * present * age
 		if bad || r.due > 0 && due >= 5 && age > usual {
@@ -417,7 +417,7 @@
 	// It gives way near the level that sheds, where near ones are slower, and while a third is not in full.
 	base := 1 / (1 + 60*g.terms.CrossPrice)
 	members, full := g.count((*replica).member), g.count(func(r *replica) bool { return r.state == serving })
-	calm := min(max(2-2*g.stress/sheds, 0), 1) * max(0, 3*float64(full)/float64(max(members, 1))-2)
+	ease := min(max(2-2*g.stress/sheds, 0), 1) * max(0, 3*float64(full)/float64(max(members, 1))-2)
 	for _, t := range g.tables {
 		var near, far sums
 		var paces []float64
@@ -434,7 +434,7 @@
 		t.pace = median(paces)
 		if t.far = base; near.good >= 1 && far.good >= 1 {
 			ratio := near.latency / near.good / max(far.latency/far.good, 1)
-			t.far = min(max(math.Pow(base, calm)*ratio, base), 1)
+			t.far = min(max(math.Pow(base, ease)*ratio, base), 1)
 		}
 		priors := 1e-9
 		for _, l := range t.lines {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -325,6 +325,18 @@
 		})
 		failIf(t, len(h.out) != 0, "out %v", h.out)
 	})
+	t.Run("a full replica is not broken", func(t *testing.T) {
+		// Found by an incident: a third was lost, and full replicas were withdrawn one after the other.
+		h := begin(t, 9, nil)
+		h.run(12, h.all(9))
+		h.run(5, func() {
+			for k := 1; k <= 8; k++ {
+				h.heard(k, 10, 0, 230*fleet.Millisecond)
+			}
+			h.heard(9, 20, 19, 900*fleet.Millisecond)
+		})
+		failIf(t, len(h.out) != 0, "out %v", h.out)
+	})
 	t.Run("no more than a third is taken out", func(t *testing.T) {
 		h := begin(t, 6, nil)
 		h.run(12, h.all(6))
