--- a/decide/decide.go
+++ b/decide/decide.go
@@ -462,18 +462,18 @@
 }
 
 // lay makes a zone's tables. A line costs a proxy a connection, handshakes when it idles, and orders: it is
-// wanted while a try comes to it in two and a half seconds, and while all proxies take no more than a quarter
-// of the connections of the smallest replica. Eight at least, to lose a few; two thirds near.
+// wanted while a try comes to it in two and a half seconds, or less where orders are dear, and while all
+// proxies take no more than a quarter of the connections of the smallest replica. Eight at least, to lose a
+// few, and so many that eighteen proxies feed each replica, which evens them out; two thirds near.
 func (g *Governor) lay(zone int) {
-	const least = 8
-	usual, n := 0.0, float64(len(g.replicas))
+	usual, n, proxies := 0.0, float64(len(g.replicas)), float64(max(g.terms.Proxies, 1))
 	for _, p := range g.proxies {
 		usual += p.usual / float64(len(g.proxies))
 	}
-	tries := usual * 2.5
-	conns := n / 4 * float64(g.terms.ConnsLeast) / float64(max(g.terms.Proxies, 1))
+	tries := usual * min(2.5, 0.05/max(g.terms.PushPrice, 1e-9))
+	conns := n / 4 * float64(g.terms.ConnsLeast) / proxies
 	if g.width = max(len(g.replicas), 1); tries > 0 && conns > 0 {
-		g.width = int(min(max(least, min(tries, conns)), float64(g.width)))
+		g.width = int(min(max(8, 18*n/proxies, min(tries, conns)), float64(g.width)))
 	}
 	near := g.count(func(r *replica) bool { return r.zone == zone && r.member() })
 	for range max(1, (3*near+g.width)/(2*g.width)) {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -54,10 +54,11 @@
 	MessagesMost int // messages to one proxy within MessagesSpan; 0: no limit
 	MessagesSpan Micros
 	CrossPrice   float64
-	BusyField    int    // place in a load report of the share of its cores in use; -1: not reported
-	Cold         Micros // within which a started replica is warm
-	Proxies      int    // of all governors
-	ConnsLeast   int    // connections that the smallest replica accepts
+	PushPrice    float64 // of the channel in use all day
+	BusyField    int     // place in a load report of the share of its cores in use; -1: not reported
+	Cold         Micros  // within which a started replica is warm
+	Proxies      int     // of all governors
+	ConnsLeast   int     // connections that the smallest replica accepts
 }
 
 // Life is what the list says of a replica.
--- a/simwire/terms.go
+++ b/simwire/terms.go
@@ -28,6 +28,7 @@
 		MessagesMost int     `json:"reloads_max"`
 		MessagesSpan float64 `json:"reload_span"`
 		Slices       int     `json:"slices"`
+		PushPrice    float64 `json:"push_price"`
 		Proxies      int     `json:"proxies"`
 		ConnsLeast   float64 `json:"smallest_conn_table"`
 	} `json:"extra"`
@@ -71,7 +72,7 @@
 		Zones: len(o.Zones), Subscribe: o.Membership == "subscribe", Admits: x.Admission == "ratio",
 		AdmitAll: 1, Avoids: x.Ejects > 0, StandingSize: x.DefaultSize, Period: micros(x.Period),
 		Overhead: int(math.Ceil(x.Overhead)), QueueMost: int(x.PendingMax), MessagesMost: x.MessagesMost, MessagesSpan: micros(x.MessagesSpan),
-		CrossPrice: o.Prices.CrossZone, BusyField: -1, Cold: micros(o.Guarantees.Cold),
+		CrossPrice: o.Prices.CrossZone, PushPrice: x.PushPrice, BusyField: -1, Cold: micros(o.Guarantees.Cold),
 	}
 	if x.Admission == "rps" {
 		t.AdmitAll = math.MaxFloat32
