Cold replicas are not held out of a jam where they are a third of the fleet

Told from the run onto one cold replica by their number. Covers zones that come back and releases of a third at once.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -73,7 +73,7 @@
 	unacked, aged, receipt, chances int       // aged: see weighQueue
 	loose                           int       // proxies not bound
 	way                             fleet.Way // when proxies try again, as ordered
-	beaten, changed, askAll         bool      // the timer rang; a proxy joined or a replica's state changed; all are to answer
+	beaten, changed, askAll, many   bool      // the timer rang; a proxy joined or a replica's state changed; all are to answer
 	shares, told                    []float64 // let in, by operation; as ordered
 	cheap                           []int     // operations, the one that brings least for its time first
 	came, rate                      float64   // tries since the last report; tries remembered, by time
@@ -185,19 +185,19 @@
 	return min(1, 0.25+0.75*float64(g.now-r.easedAt)/float64(easeSpan))
 }
 
-// sheds is the stress from which less is let in: with half of the objective in the mean, the slower part is
-// late. Twice that is jammed: proxies run from full replicas to whatever still answers.
+// sheds is the stress that sheds: with half of the objective in the mean, the slower part is late.
 const calm, sheds, jammed = 0.4, 0.5, 1.0
 
 // out tells whether a replica is shut out everywhere. A cold one is while the gate is shut, as it may stand
 // in untold tables at full weight, and while a table is jammed: proxies that avoid what fails would run to
-// it.
+// it, unless a third of the fleet is cold, which shares that run and is needed.
 func (g *Governor) out(r *replica) bool {
 	jam := g.stress > jammed || slices.ContainsFunc(r.lines, func(l *line) bool { return l.t.pace > jammed })
-	cold := r.state == easing && g.now-r.since < g.terms.Cold
-	return !r.in() || cold && (g.gate == shut || g.terms.Avoids && jam)
+	return !r.in() || g.cold(r) && (g.gate == shut || g.terms.Avoids && jam && !g.many)
 }
 
+func (g *Governor) cold(r *replica) bool { return r.state == easing && g.now-r.since < g.terms.Cold }
+
 // Joined takes a proxy whose stream is established. It may hold old withdrawals, and not know ours.
 func (g *Governor) Joined(now fleet.Micros, id fleet.ProxyID, zone int, usual float64) {
 	g.Left(now, id)
@@ -306,6 +306,7 @@
 	if room > 0 {
 		g.stress = max(g.stress, sheds*max(work/room, median(busy))/full)
 	}
+	g.many = 3*g.count(g.cold) >= g.count((*replica).in)
 	if !waiting {
 		apply(g, gateMoves, &g.gate, allHeard, g)
 	}
