Cold replicas: out of tables that near a jam, no new far lines, no further tries while many

Change: hold from 0.8 of the objective at the median line, unless half of the fleet is cold (a third before); no further try while a quarter is cold; beyond the width no far cold line.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,5 +1,4 @@
-// Package decide holds every decision of a governor: tables, binds, withdrawals, levels, and when each
-// leaves.
+// Package decide holds every decision of a governor: tables, binds, withdrawals, levels, and their time.
 //
 // A caller makes a Governor with New, hands it what it is told (Listed, Joined, Left, Applied, Heard, Rang)
 // and calls Settle once all that came at one moment is in. Orders go out through fleet.Host; package fleet is
@@ -68,16 +67,16 @@
 	byProxy                         map[fleet.ProxyID]*proxy
 	tables                          []*table
 	zones                           [][]*table // the same by zone
-	width, turn                     int        // lines that a table needs; the table that the next solve starts with
+	width, turn                     int        // lines that a table needs; where the next solve starts
 	due                             []dueTime
 	unacked, aged, receipt, chances int       // aged: see weighQueue
 	loose                           int       // proxies not bound
 	way                             fleet.Way // when proxies try again, as ordered
-	beaten, changed, askAll, many   bool      // the timer rang; a proxy joined or a replica's state changed; all are to answer
+	beaten, changed, askAll         bool      // the timer rang; a proxy or a state changed; all are to answer
 	shares, told                    []float64 // let in, by operation; as ordered
 	cheap                           []int     // operations, the one that brings least for its time first
 	came, rate                      float64   // tries since the last report; tries remembered, by time
-	objective, pace, stress         float64   // mean objective; see learn
+	objective, pace, stress, colds  float64   // mean objective; see learn; the share of the fleet that is cold
 }
 
 // New makes a governor, subscribes it to the list and starts its gate's window.
@@ -95,10 +94,9 @@
 	worth := func(i int) float64 { return t.Operations[i].Value / float64(t.Operations[i].Objective) }
 	slices.SortStableFunc(g.cheap, func(i, j int) int { return cmp.Compare(worth(i), worth(j)) })
 	g.after(window, dueTime{on: windowOver})
-	if t.Subscribe {
+	if host.Wake(g.beat()); t.Subscribe {
 		host.Follow()
 	}
-	host.Wake(g.beat())
 	g.sendLevels()
 	return g
 }
@@ -189,11 +187,11 @@
 const calm, sheds, jammed = 0.4, 0.5, 1.0
 
 // out tells whether a replica is shut out everywhere. A cold one is while the gate is shut, as it may stand
-// in untold tables at full weight, and while a table is jammed: proxies that avoid what fails would run to
-// it, unless a third of the fleet is cold, which shares that run and is needed.
+// in untold tables at full weight, and while a table nears a jam, which sums tell late: proxies that avoid
+// what fails would run to it, unless half of the fleet is cold, which shares that run and is needed.
 func (g *Governor) out(r *replica) bool {
-	jam := g.stress > jammed || slices.ContainsFunc(r.lines, func(l *line) bool { return l.t.pace > jammed })
-	return !r.in() || g.cold(r) && (g.gate == shut || g.terms.Avoids && jam && !g.many)
+	jam := g.stress > jammed || slices.ContainsFunc(r.lines, func(l *line) bool { return l.t.pace > 0.8 })
+	return !r.in() || g.cold(r) && (g.gate == shut || g.terms.Avoids && jam && g.colds < 0.5)
 }
 
 func (g *Governor) cold(r *replica) bool { return r.state == easing && g.now-r.since < g.terms.Cold }
@@ -306,7 +304,7 @@
 	if room > 0 {
 		g.stress = max(g.stress, sheds*max(work/room, median(busy))/full)
 	}
-	g.many = 3*g.count(g.cold) >= g.count((*replica).in)
+	g.colds = float64(g.count(g.cold)) / float64(max(g.count((*replica).in), 1))
 	if !waiting {
 		apply(g, gateMoves, &g.gate, allHeard, g)
 	}
@@ -333,7 +331,7 @@
 		}
 	}
 	way := fleet.WhenUnrun
-	if g.stress > sheds || g.stress > calm && g.way == fleet.Never {
+	if g.stress > sheds || g.stress > calm && g.way == fleet.Never || g.colds > 0.25 {
 		way = fleet.Never
 	}
 	for i, s := range g.shares {
@@ -347,7 +345,8 @@
 }
 
 // sendLevels orders the shares, and one way for all: a further try on proof that the first never ran, safe
-// for every effect and any table; none while the fleet is short, as tries turned away would treble.
+// for every effect and any table; none while the fleet is short or a quarter cold, as tries turned away would
+// treble.
 func (g *Governor) sendLevels() {
 	copy(g.told, g.shares)
 	for i, s := range g.shares {
@@ -381,7 +380,7 @@
 		// Nine tries in ten, three times the others' share, on three errors. While the fleet is not calm, one whose
 		// good tries are late is full, not broken: with it out, the rest would be full next.
 		bad := b.errored >= max(3, 0.9*b.tries, 3*others*b.tries) &&
-			(b.latency <= b.good*g.objective || g.stress < calm)
+			(b.latency <= b.good*g.objective || g.pace < calm)
 		// Three in four had a line within half of that; five tries due by then are no chance.
 		due := r.all.tries / max(r.all.span, 1) * present * age
 		if bad || r.due > 0 && due >= 5 && age > usual {
@@ -462,10 +461,10 @@
 	}
 }
 
-// lay makes a zone's tables. A line costs a proxy a connection, handshakes when it idles, and orders: it is
-// wanted while a try comes to it in two and a half seconds, or less where orders are dear, and while all
-// proxies take no more than a quarter of the connections of the smallest replica. Eight at least, to lose a
-// few, and so many that eighteen proxies feed each replica, which evens them out; two thirds near.
+// lay makes a zone's tables. A line costs connections, handshakes and orders: it is wanted for a try each 2.5
+// s, or more where orders are dear, up to a quarter of the connections of the smallest replica. Eight at
+// least, to lose a few, and so many that eighteen proxies feed each replica, which evens them out; two thirds
+// near.
 func (g *Governor) lay(zone int) {
 	usual, n, proxies := 0.0, float64(len(g.replicas)), float64(max(g.terms.Proxies, 1))
 	for _, p := range g.proxies {
@@ -505,7 +504,9 @@
 			if r.zone != zone {
 				score += 1000
 			}
-			if r.in() && !there && (pick == nil || score < best) {
+			// Beyond the width a far cold one is not wanted: it would take the run of a zone that is short.
+			fits := r.in() && !there && (r.zone == zone || t.open() < g.width || !g.cold(r))
+			if fits && (pick == nil || score < best) {
 				pick, best = r, score
 			}
 		}
@@ -520,7 +521,7 @@
 // urgent is the share of the backlog that may be filled by what can't be put off.
 const urgent = 0.9
 
-// Settle sends what this moment calls for; each proxy reached answers.
+// Settle sends what this moment calls for.
 func (g *Governor) Settle(now fleet.Micros) {
 	g.now = now
 	if g.beaten || g.changed {
@@ -536,8 +537,8 @@
 		g.askAll = false
 	}
 	for _, p := range g.written {
-		p.unacked, p.sent = append(p.unacked, message{g.receipt, p.lines, g.now}), append(p.sent, g.now)
-		p.lines = 0
+		p.unacked = append(p.unacked, message{g.receipt, p.lines, g.now})
+		p.sent, p.lines = append(p.sent, g.now), 0
 	}
 	g.written = nil
 }
@@ -626,15 +627,14 @@
 	quota := 1 + len(g.proxies)/5
 	g.loose = 0
 	for _, p := range g.proxies {
-		if p.state != loose {
-			continue
-		}
-		if g.gate == shut && g.bare(p.zone) && g.pay([]*proxy{p}, 2+2*g.width, urgent, 1) {
+		switch one := []*proxy{p}; {
+		case p.state != loose:
+		case g.gate == shut && g.bare(p.zone) && g.pay(one, 2+2*g.width, urgent, 1):
 			apply(g, proxyMoves, &p.state, atRisk, p)
-		} else if g.gate == open && g.beaten && quota > 0 && g.pay([]*proxy{p}, 2+2*g.width, 0.5, 2) {
+		case g.gate == open && g.beaten && quota > 0 && g.pay(one, 2+2*g.width, 0.5, 2):
 			quota--
 			apply(g, proxyMoves, &p.state, turn, p)
-		} else {
+		default:
 			g.loose++
 		}
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -148,11 +148,11 @@
 }
 
 func TestManyCold(t *testing.T) {
-	// Found by an incident: a fleet that grew by half in a jam had its new replicas held out, and stayed jammed.
+	// Found by an incident: a fleet that doubled in a jam had its new replicas held out, and stayed jammed.
 	h := begin(t, 8, nil)
 	h.run(5, h.all(8))
 	var more []fleet.Listing
-	for k := 9; k <= 13; k++ {
+	for k := 9; k <= 16; k++ {
 		more = append(more, fleet.Listing{ID: id(k), Life: fleet.Ready, Since: h.now - fleet.Second})
 	}
 	h.g.Listed(h.now, fleet.Change, more)
@@ -161,7 +161,7 @@
 			h.heard(k, 10, 7, 900*fleet.Millisecond)
 		}
 	})
-	failIf(t, h.out[id(9)] || h.out[id(13)], "out %v", h.out)
+	failIf(t, h.out[id(9)] || h.out[id(16)], "out %v", h.out)
 }
 
 func TestQueue(t *testing.T) {
