--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -26,13 +26,13 @@
 	})
 	t.Run("skips what drains", func(t *testing.T) {
 		h := begin(t, 3, nil)
-		h.g.Listed(h.now, fleet.Change, []fleet.Listing{{ID: id(3), Life: fleet.Draining}})
+		h.drain(3)
 		h.run(3, h.all(2))
 		failIf(t, len(h.bound) != 2, "waits for a replica that drains")
 	})
 	t.Run("sends drain withdrawals while shut", func(t *testing.T) {
 		h := begin(t, 8, nil)
-		h.g.Listed(h.now, fleet.Change, []fleet.Listing{{ID: id(2), Life: fleet.Draining}})
+		h.drain(2)
 		h.settle()
 		failIf(t, !h.out[id(2)] || len(h.bound) != 0, "out %v, bound %v", h.out, h.bound)
 	})
@@ -48,7 +48,7 @@
 		h.g.Listed(h.now, fleet.Change, entries)
 		h.settle()
 		failIf(t, len(h.bound) != 0, "three out of standing tables of four leave a line")
-		h.g.Listed(h.now, fleet.Change, []fleet.Listing{{ID: id(4), Life: fleet.Draining}})
+		h.drain(4)
 		h.settle()
 		failIf(t, len(h.bound) != 2 || h.weights[id(5)] <= 0, "bound %v on %v", h.bound, h.weights)
 	})
@@ -57,7 +57,7 @@
 		h.run(12, h.all(3))
 		h.run(4, func() { h.heard(1, 10, 0, 100000); h.heard(2, 10, 0, 100000); h.heard(3, 10, 10, 0) })
 		failIf(t, !h.out[id(3)], "the failing replica does not rest")
-		h.g.Listed(h.now, fleet.Change, []fleet.Listing{{ID: id(1)}, {ID: id(2)}})
+		h.gone(1, 2)
 		h.run(2, nil)
 		failIf(t, h.out[id(3)], "the last replica stays out")
 	})
@@ -67,13 +67,13 @@
 	h := begin(t, 8, nil)
 	h.run(12, h.all(8))
 	t.Run("at once", func(t *testing.T) {
-		h.g.Listed(h.now, fleet.Change, []fleet.Listing{{ID: id(2)}})
+		h.gone(2)
 		h.settle()
 		failIf(t, !h.out[id(2)], "not withdrawn")
 	})
 	t.Run("again for a proxy that joins while the gate is shut, once there is room", func(t *testing.T) {
 		h := begin(t, 8, nil)
-		h.g.Listed(h.now, fleet.Change, []fleet.Listing{{ID: id(2)}})
+		h.gone(2)
 		h.settle()
 		delete(h.out, id(2))
 		h.g.unacked += 5000
@@ -96,52 +96,41 @@
 		failIf(t, h.follows != asked+1 || h.out[id(4)], "asked %d times, out %v", h.follows-asked, h.out)
 	})
 	t.Run("back under its old id it starts at a quarter", func(t *testing.T) {
-		h.g.Listed(h.now, fleet.Change, []fleet.Listing{{ID: id(2), Life: fleet.Ready, Since: h.now - fleet.Second}})
+		h.change(fleet.Ready, h.now-fleet.Second, 2)
 		h.run(2, nil)
-		if h.out[id(2)] || h.weights[id(2)] > 0.4*h.weights[id(1)] {
-			t.Fatalf("out %v at %v", h.out[id(2)], h.weights[id(2)])
-		}
+		failIf(t, h.out[id(2)] || h.weights[id(2)] > 0.4*h.weights[id(1)], "out %v at %v", h.out[id(2)], h.weights[id(2)])
 	})
 }
 
 func TestColdReplica(t *testing.T) {
 	start := func(h *fakeHost) {
-		h.g.Listed(h.now, fleet.Change, []fleet.Listing{{ID: id(1), Life: fleet.Ready, Since: h.now - 1}})
+		h.change(fleet.Ready, h.now-1, 1)
 		h.settle()
 	}
 	t.Run("is cut at once and rises over thirty seconds", func(t *testing.T) {
 		h := begin(t, 8, nil)
 		h.run(12, h.all(8))
 		start(h)
-		if w := h.weights[id(1)]; math.Abs(w-0.25) > 0.01 {
-			t.Fatalf("starts at %v", w)
-		}
+		w := h.weights[id(1)]
+		failIf(t, math.Abs(w-0.25) > 0.01, "starts at %v", w)
 		h.run(15, h.all(8))
 		half := h.weights[id(1)]
 		h.run(20, h.all(8))
-		if half < 0.4 || half > 0.8 || h.weights[id(1)] < 0.8 {
-			t.Fatalf("%v after 15 s, %v after 35 s", half, h.weights[id(1)])
-		}
+		failIf(t, half < 0.4 || half > 0.8 || h.weights[id(1)] < 0.8, "%v after 15 s, %v after 35 s", half, h.weights[id(1)])
 	})
 	t.Run("is held out while the gate is shut", func(t *testing.T) {
 		h := begin(t, 8, nil)
-		if start(h); !h.out[id(1)] {
-			t.Fatal("may stand in standing tables at full weight")
-		}
-		if h.run(13, h.all(8)); h.out[id(1)] {
-			t.Fatal("not let back in")
-		}
+		start(h)
+		failIf(t, !h.out[id(1)], "may stand in standing tables at full weight")
+		h.run(13, h.all(8))
+		failIf(t, h.out[id(1)], "not let back in")
 	})
 	for name, avoids := range map[string]bool{"is held out of a jam": true, "unless proxies avoid nothing": false} {
 		t.Run(name, func(t *testing.T) {
 			h := begin(t, 8, func(terms *fleet.Terms) { terms.Avoids = avoids })
 			h.run(12, h.all(8))
 			start(h)
-			h.run(4, func() {
-				for k := 2; k <= 8; k++ {
-					h.heard(k, 10, 7, 400*fleet.Millisecond)
-				}
-			})
+			h.run(4, h.each(2, 8, 10, 7, 400*fleet.Millisecond))
 			failIf(t, h.out[id(1)] != avoids, "out %v: proxies run from full replicas to the cold one", h.out[id(1)])
 		})
 	}
@@ -151,16 +140,8 @@
 	// Found by an incident: a fleet that doubled in a jam had its new replicas held out, and stayed jammed.
 	h := begin(t, 8, nil)
 	h.run(5, h.all(8))
-	var more []fleet.Listing
-	for k := 9; k <= 16; k++ {
-		more = append(more, fleet.Listing{ID: id(k), Life: fleet.Ready, Since: h.now - fleet.Second})
-	}
-	h.g.Listed(h.now, fleet.Change, more)
-	h.run(5, func() {
-		for k := 1; k <= 8; k++ {
-			h.heard(k, 10, 7, 900*fleet.Millisecond)
-		}
-	})
+	h.change(fleet.Ready, h.now-fleet.Second, 9, 10, 11, 12, 13, 14, 15, 16)
+	h.run(5, h.each(1, 8, 10, 7, 900*fleet.Millisecond))
 	failIf(t, h.out[id(9)] || h.out[id(16)], "out %v", h.out)
 }
 
@@ -180,14 +161,12 @@
 		h := begin(t, 8, func(terms *fleet.Terms) { terms.MessagesMost, terms.MessagesSpan = 12, 10*fleet.Second })
 		h.run(12, h.all(8))
 		for k := range 20 {
-			h.g.Listed(h.now, fleet.Change,
-				[]fleet.Listing{{ID: id(1 + k%8), Life: fleet.Ready, Since: h.now - fleet.Second}})
+			h.change(fleet.Ready, h.now-fleet.Second, 1+k%8)
 			h.run(1, h.all(8))
 		}
-		for k := range h.batches {
-			if k >= 12 && h.batches[k]-h.batches[k-12] < 10*fleet.Second {
-				t.Fatalf("13 messages within %v us", h.batches[k]-h.batches[k-12])
-			}
+		for k := 12; k < len(h.batches); k++ {
+			span := h.batches[k] - h.batches[k-12]
+			failIf(t, span < 10*fleet.Second, "13 messages within %v us", span)
 		}
 	})
 	t.Run("a broken stream frees what it had not acknowledged", func(t *testing.T) {
@@ -206,7 +185,7 @@
 		h := begin(t, 8, nil)
 		h.run(5, h.all(8))
 		h.acks = false
-		h.g.Listed(h.now, fleet.Change, []fleet.Listing{{ID: id(1)}})
+		h.gone(1)
 		h.settle()
 		h.g.proxies[0].unacked[0].lines += 1000
 		h.g.unacked += 1000
@@ -214,7 +193,7 @@
 		moved := len(h.orders)
 		h.run(2, func() { h.heard(2, 10, 0, 900*fleet.Millisecond) })
 		failIf(t, len(h.orders) != moved, "orders %v", h.orders[moved:])
-		h.g.Listed(h.now, fleet.Change, []fleet.Listing{{ID: id(3)}})
+		h.gone(3)
 		h.settle()
 		failIf(t, !h.out[id(3)], "the drain waits behind them")
 	})
@@ -223,7 +202,7 @@
 		h := begin(t, 8, nil)
 		h.run(5, h.all(8))
 		h.g.Listed(h.now, fleet.Change, []fleet.Listing{ready(20, 0)})
-		h.g.Listed(h.now, fleet.Change, []fleet.Listing{{ID: id(20)}})
+		h.gone(20)
 		h.settle()
 		failIf(t, h.g.unacked != 0, "%d lines wait for an answer that nobody owes", h.g.unacked)
 	})
@@ -279,6 +258,23 @@
 			failIf(t, tab.open() < 3, "%d open lines", tab.open())
 		}
 	})
+	t.Run("hundreds join and leave in one step, messages limited", func(t *testing.T) {
+		h := begin(t, 200, func(terms *fleet.Terms) {
+			terms.QueueMost, terms.MessagesMost, terms.MessagesSpan = 900, 3, 10*fleet.Second
+		})
+		h.acks = false
+		for p := 3; p <= 400; p++ {
+			h.join(fleet.ProxyID(p))
+		}
+		h.gone(1, 2, 3)
+		h.run(6, h.all(200))
+		failIf(t, h.g.unacked > 900, "%d lines wait", h.g.unacked)
+		for p := 1; p <= 400; p++ {
+			h.g.Left(h.now, fleet.ProxyID(p))
+		}
+		h.run(2, nil)
+		failIf(t, h.g.unacked != 0, "%d lines are held for nobody", h.g.unacked)
+	})
 	t.Run("sums that cover several periods make none silent", func(t *testing.T) {
 		h := wide(t)
 		k := 0
@@ -296,22 +292,16 @@
 func TestRepeats(t *testing.T) {
 	h := begin(t, 6, func(terms *fleet.Terms) { terms.Admits = false })
 	t.Run("only on proof that the first never ran", func(t *testing.T) {
-		if h.run(12, h.all(6)); len(h.ways) != 1 || !h.ways[fleet.WhenUnrun] {
-			t.Fatalf("ways %v: no other is safe for every effect", h.ways)
-		}
+		h.run(12, h.all(6))
+		failIf(t, len(h.ways) != 1 || !h.ways[fleet.WhenUnrun], "ways %v: no other is safe for every effect", h.ways)
 	})
 	t.Run("none while the fleet is short, and again after", func(t *testing.T) {
 		// Found by an incident: full replicas turned tries away at once, and each came again elsewhere.
-		h.run(4, func() {
-			for k := 1; k <= 6; k++ {
-				h.heard(k, 10, 6, 300*fleet.Millisecond)
-			}
-		})
+		h.run(4, h.each(1, 6, 10, 6, 300*fleet.Millisecond))
 		failIf(t, h.ways[fleet.AnyFailure] || h.ways[fleet.TwoMore] || !h.ways[fleet.Never], "ways %v", h.ways)
 		clear(h.ways)
-		if h.run(10, h.all(6)); !h.ways[fleet.WhenUnrun] {
-			t.Fatalf("ways %v after the jam", h.ways)
-		}
+		h.run(10, h.all(6))
+		failIf(t, !h.ways[fleet.WhenUnrun], "ways %v after the jam", h.ways)
 	})
 }
 
@@ -335,11 +325,7 @@
 		// Found by an incident: shedding left so few tries that replicas without one were withdrawn.
 		h := begin(t, 6, nil)
 		h.run(12, h.all(6))
-		h.run(4, func() {
-			for k := 1; k <= 4; k++ {
-				h.heard(k, 1, 0, 100*fleet.Millisecond)
-			}
-		})
+		h.run(4, h.each(1, 4, 1, 0, 100*fleet.Millisecond))
 		failIf(t, len(h.out) != 0, "out %v", h.out)
 	})
 	t.Run("a full replica is not broken", func(t *testing.T) {
@@ -347,9 +333,7 @@
 		h := begin(t, 9, nil)
 		h.run(12, h.all(9))
 		h.run(5, func() {
-			for k := 1; k <= 8; k++ {
-				h.heard(k, 10, 0, 230*fleet.Millisecond)
-			}
+			h.each(1, 8, 10, 0, 230*fleet.Millisecond)()
 			h.heard(9, 20, 19, 900*fleet.Millisecond)
 		})
 		failIf(t, len(h.out) != 0, "out %v", h.out)
@@ -357,12 +341,7 @@
 	t.Run("no more than a third is taken out", func(t *testing.T) {
 		h := begin(t, 6, nil)
 		h.run(12, h.all(6))
-		h.run(5, func() {
-			h.all(3)()
-			for k := 4; k <= 6; k++ {
-				h.heard(k, 10, 10, 0)
-			}
-		})
+		h.run(5, func() { h.all(3)(); h.each(4, 6, 10, 10, 0)() })
 		failIf(t, len(h.out) > 2, "out %v", h.out)
 	})
 }
@@ -374,9 +353,8 @@
 		last := h.weights[id(1)]
 		for range 20 {
 			h.run(1, func() { h.all(6)(); h.heard(1, 10, 0, 600*fleet.Millisecond) })
-			if w := h.weights[id(1)]; w < 0.899*last || w > 1.101*last {
-				t.Fatalf("from %v to %v", last, w)
-			}
+			w := h.weights[id(1)]
+			failIf(t, w < 0.899*last || w > 1.101*last, "from %v to %v", last, w)
 			last = h.weights[id(1)]
 		}
 		failIf(t, last > 0.6*h.weights[id(2)], "a slow replica keeps %v of %v", last, h.weights[id(2)])
@@ -392,9 +370,8 @@
 				h.heard(k, max(tries, 1), 0, fleet.Micros(90+10*min(k, 2))*fleet.Millisecond)
 			}
 		})
-		if r := h.weights[id(1)] / h.weights[id(2)]; r > 1.6 {
-			t.Fatalf("a tenth of speed drew %v times the weight", r)
-		}
+		r := h.weights[id(1)] / h.weights[id(2)]
+		failIf(t, r > 1.6, "a tenth of speed drew %v times the weight", r)
 	})
 	t.Run("near replicas come first while calm, but not where they are slower", func(t *testing.T) {
 		h := begin(t, 6, nil)
@@ -403,28 +380,15 @@
 		h.run(12, h.all(6))
 		calm := h.weights[id(4)]
 		h.run(30, func() {
-			for k := 1; k <= 6; k++ {
-				latency := 100 * fleet.Millisecond
-				if k <= 3 {
-					latency *= 2
-				}
-				h.heard(k, 10, 0, latency)
-			}
+			h.each(1, 3, 10, 0, 200*fleet.Millisecond)()
+			h.each(4, 6, 10, 0, 100*fleet.Millisecond)()
 		})
-		if calm > 0.6*h.weights[id(1)] || h.weights[id(4)] < 2*calm {
-			t.Fatalf("far %v at first, %v later", calm, h.weights[id(4)])
-		}
+		failIf(t, calm > 0.6*h.weights[id(1)] || h.weights[id(4)] < 2*calm, "far %v at first, %v later", calm, h.weights[id(4)])
 	})
 }
 
 func TestLevels(t *testing.T) {
-	late := func(h *fakeHost) func() {
-		return func() {
-			for k := 1; k <= 6; k++ {
-				h.heard(k, 10, 4, 400*fleet.Millisecond)
-			}
-		}
-	}
+	late := func(h *fakeHost) func() { return h.each(1, 6, 10, 4, 400*fleet.Millisecond) }
 	t.Run("the cheapest operation first, and back", func(t *testing.T) {
 		h := begin(t, 6, nil)
 		h.run(12, h.all(6))
@@ -437,27 +401,14 @@
 		// Found by an incident: one operation went unanswered everywhere, and nine tenths of all were turned away.
 		h := begin(t, 6, nil)
 		h.run(12, h.all(6))
-		h.run(6, func() {
-			for k := 1; k <= 6; k++ {
-				h.heard(k, 10, 6, 100*fleet.Millisecond)
-			}
-		})
+		h.run(6, h.each(1, 6, 10, 6, 100*fleet.Millisecond))
 		failIf(t, h.shares[1] != 1 || h.shares[2] != 1, "shares %v", h.shares)
 	})
 	t.Run("none for tries that are slow though the cores idle, whatever a quarter of the reports says", func(t *testing.T) {
 		// Found by an incident: new connections took most of the objective, and shedding made each one new.
 		h := begin(t, 8, func(terms *fleet.Terms) { terms.BusyField = 0 })
 		h.run(12, h.all(8))
-		h.run(6, func() {
-			for k := 1; k <= 8; k++ {
-				busy := 0.2
-				if k <= 2 {
-					busy = 1
-				}
-				h.g.Heard(h.now, fleet.Sum{Replica: id(k), Tries: 10, Latency: 400 * fleet.Millisecond,
-					Span: fleet.Second, Report: []float64{busy}})
-			}
-		})
+		h.run(6, func() { h.busy(1, 2, 400, 1); h.busy(3, 8, 400, 0.2) })
 		failIf(t, h.shares[1] != 1 || h.shares[2] != 1, "shares %v", h.shares)
 	})
 	t.Run("where proxies admit all, none is sent", func(t *testing.T) {
@@ -468,28 +419,16 @@
 	t.Run("when most cores are full though some replicas idle", func(t *testing.T) {
 		// Found by an incident: two in five answered nothing and idled, the others were full long before they were late.
 		h := begin(t, 10, func(terms *fleet.Terms) { terms.BusyField = 0 })
-		h.run(4, func() {
-			for k := 1; k <= 10; k++ {
-				busy := 0.97
-				if k > 6 {
-					busy = 0.2
-				}
-				h.g.Heard(h.now, fleet.Sum{Replica: id(k), Tries: 10, Latency: 100 * fleet.Millisecond,
-					Span: fleet.Second, Report: []float64{busy}})
-			}
-		})
+		h.run(4, func() { h.busy(1, 6, 100, 0.97); h.busy(7, 10, 100, 0.2) })
 		failIf(t, h.shares[1] > 0.95, "shares %v", h.shares)
 	})
 	t.Run("a release shows in busy cores before it shows in latency", func(t *testing.T) {
 		// Found by the hunt for broken rules: four of nine drained, and the jam pushed a cold replica over.
 		h := begin(t, 6, func(terms *fleet.Terms) { terms.BusyField = 0 })
 		h.run(12, h.all(6))
-		for k := 4; k <= 6; k++ {
-			h.g.Listed(h.now, fleet.Change, []fleet.Listing{{ID: id(k), Life: fleet.Draining}})
-		}
-		if h.run(2, h.all(3)); h.shares[1] > 0.95 {
-			t.Fatalf("shares %v with half the room", h.shares)
-		}
+		h.drain(4, 5, 6)
+		h.run(2, h.all(3))
+		failIf(t, h.shares[1] > 0.95, "shares %v with half the room", h.shares)
 	})
 }
 
@@ -498,7 +437,7 @@
 		"no listed replica": func(h *fakeHost) { h.g.Listed(h.now, fleet.Whole, nil) },
 		"all draining": func(h *fakeHost) {
 			for k := range 6 {
-				h.g.Listed(h.now, fleet.Change, []fleet.Listing{{ID: id(k + 1), Life: fleet.Draining}})
+				h.drain(k + 1)
 			}
 		},
 		"an empty zone and a zone beyond the settings": func(h *fakeHost) {
--- a/decide/host_test.go
+++ b/decide/host_test.go
@@ -131,11 +131,32 @@
 	}
 }
 
-// all reports the same good second at replicas 1 to n.
-func (h *fakeHost) all(n int) func() {
+// each gives a report of the same second at replicas from to to.
+func (h *fakeHost) each(from, to, tries, errored int, latency fleet.Micros) func() {
 	return func() {
-		for k := range n {
-			h.heard(k+1, 10, 0, 100*fleet.Millisecond)
+		for k := from; k <= to; k++ {
+			h.heard(k, tries, errored, latency)
 		}
 	}
 }
+
+func (h *fakeHost) all(n int) func() { return h.each(1, n, 10, 0, 100*fleet.Millisecond) }
+
+func (h *fakeHost) change(life fleet.Life, since fleet.Micros, numbers ...int) {
+	var entries []fleet.Listing
+	for _, n := range numbers {
+		entries = append(entries, fleet.Listing{ID: id(n), Life: life, Since: since})
+	}
+	h.g.Listed(h.now, fleet.Change, entries)
+}
+
+func (h *fakeHost) gone(numbers ...int)  { h.change(fleet.Gone, 0, numbers...) }
+func (h *fakeHost) drain(numbers ...int) { h.change(fleet.Draining, 0, numbers...) }
+
+// busy reports ten good tries of so many milliseconds with that share of the cores in use.
+func (h *fakeHost) busy(from, to, ms int, share float64) {
+	for k := from; k <= to; k++ {
+		h.g.Heard(h.now, fleet.Sum{Replica: id(k), Tries: 10, Latency: fleet.Micros(ms) * fleet.Millisecond,
+			Span: fleet.Second, Report: []float64{share}})
+	}
+}
