Restarted cold replicas do not end the hold in a jam

Told from a fleet that grows by what had been heard of them before their start. Covers zones back at once; hurts where restarted replicas are half of the fleet and the jam outlasts 17 s.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -76,7 +76,7 @@
 	shares, told                    []float64 // let in, by operation; as ordered
 	cheap                           []int     // operations, the one that brings least for its time first
 	came, rate                      float64   // tries since the last report; tries remembered, by time
-	objective, pace, stress, colds  float64   // mean objective; see learn; the share of the fleet that is cold
+	objective, pace, stress, colds  float64   // mean objective; see learn; the share that is new and cold
 }
 
 // New makes a governor, subscribes it to the list and starts its gate's window.
@@ -160,7 +160,7 @@
 
 // ease starts a replica at a quarter, knowing nothing of it. It may stand in our tables at full weight.
 func (g *Governor) ease(r *replica) {
-	r.stamp++
+	r.stamp, r.back = r.stamp+1, r.all.span > 0
 	r.easedAt, r.heardAt, r.fresh, r.all, r.brief = g.now, g.now, sums{}, sums{}, sums{}
 	for _, l := range r.lines {
 		l.cut = l.weight > 0
@@ -188,7 +188,7 @@
 
 // out tells whether a replica is shut out everywhere. A cold one is while the gate is shut, as it may stand
 // in untold tables at full weight, and while a table nears a jam, which sums tell late: proxies that avoid
-// what fails would run to it, unless half of the fleet is cold, which shares that run and is needed.
+// what fails would run to it, unless half of the fleet is new and cold, which shares that run and is needed.
 func (g *Governor) out(r *replica) bool {
 	jam := g.stress > jammed || slices.ContainsFunc(r.lines, func(l *line) bool { return l.t.pace > 0.8 })
 	return !r.in() || g.cold(r) && (g.gate == shut || g.terms.Avoids && jam && g.colds < 0.5)
@@ -304,7 +304,7 @@
 	if room > 0 {
 		g.stress = max(g.stress, sheds*max(work/room, median(busy))/full)
 	}
-	g.colds = float64(g.count(g.cold)) / float64(max(g.count((*replica).in), 1))
+	g.colds = float64(g.count(func(r *replica) bool { return g.cold(r) && !r.back })) / float64(max(g.count((*replica).in), 1))
 	if !waiting {
 		apply(g, gateMoves, &g.gate, allHeard, g)
 	}
@@ -345,7 +345,7 @@
 }
 
 // sendLevels orders the shares, and one way for all: a further try on proof that the first never ran, safe
-// for every effect and any table; none while the fleet is short or a quarter cold, as tries turned away would
+// for every effect and any table; none while the fleet is short or a quarter new, as tries turned away would
 // treble.
 func (g *Governor) sendLevels() {
 	copy(g.told, g.shares)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -137,12 +137,23 @@
 }
 
 func TestManyCold(t *testing.T) {
-	// Found by an incident: a fleet that doubled in a jam had its new replicas held out, and stayed jammed.
-	h := begin(t, 8, nil)
-	h.run(5, h.all(8))
-	h.change(fleet.Ready, h.now-fleet.Second, 9, 10, 11, 12, 13, 14, 15, 16)
-	h.run(5, h.each(1, 8, 10, 7, 900*fleet.Millisecond))
-	failIf(t, h.out[id(9)] || h.out[id(16)], "out %v", h.out)
+	for name, known := range map[string]bool{
+		// Found by an incident: a fleet that doubled in a jam had its new replicas held out, and stayed jammed.
+		"new ones come in": false,
+		// Found by an incident: half of the fleet restarted at once, and one after the other was pushed over.
+		"restarted ones are held out": true,
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := begin(t, 8, nil)
+			if known {
+				h.change(fleet.Ready, 0, 9, 10, 11, 12, 13, 14, 15, 16)
+			}
+			h.run(5, h.all(16))
+			h.change(fleet.Ready, h.now-fleet.Second, 9, 10, 11, 12, 13, 14, 15, 16)
+			h.run(5, h.each(1, 8, 10, 7, 900*fleet.Millisecond))
+			failIf(t, h.out[id(9)] != known || h.out[id(16)] != known, "out %v", h.out)
+		})
+	}
 }
 
 func TestQueue(t *testing.T) {
--- a/decide/state.go
+++ b/decide/state.go
@@ -66,7 +66,7 @@
 	busy, pace, due, draws  float64 // cores in use; see learn; see weigh
 	busyAt                  fleet.Micros
 	rests, stamp            int  // rests in a row; for dueTime
-	heard, told             bool // named in a report; its withdrawal was sent, last at toldAt
+	heard, told, back       bool // named in a report; its withdrawal was sent, last at toldAt; it restarted
 	toldAt                  fleet.Micros
 }
 
