Cold replicas stay out of tables that mostly err

Cause, logged: most replicas refused connections at once and without delay, so the tables' latency showed no jam (0.5 of the objective), and proxies ran to a replica three seconds after its restart (46 tries, 42 errors in a second at a weight of 3%). Change: two thirds of errors at the median line hold as lateness does. Holds for any cause of refusals; hurts releases while replicas err for this governor alone.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -36,7 +36,7 @@
 const listed, started, drains, gone, failing, eased, rested, askAgain input = 1, 2, 4, 8, 16, 32, 64, 128
 
 var gateMoves = []move[*Governor]{
-	{shut, allHeard | windowOver, open, (*Governor).begin},
+	{shut, allHeard | windowOver, open, func(g, _ *Governor) { g.host.Log("gate open") }},
 }
 
 var replicaMoves = []move[*replica]{
@@ -190,7 +190,7 @@
 // in untold tables at full weight, and while a table nears a jam, which sums tell late: proxies that avoid
 // what fails would run to it, unless half of the fleet is new and cold, which shares that run and is needed.
 func (g *Governor) out(r *replica) bool {
-	jam := g.stress > jammed || slices.ContainsFunc(r.lines, func(l *line) bool { return l.t.pace > 0.8 })
+	jam := g.stress > jammed || slices.ContainsFunc(r.lines, func(l *line) bool { return l.t.risk > 0.8 })
 	return !r.in() || g.cold(r) && (g.gate == shut || g.terms.Avoids && jam && g.colds < 0.5)
 }
 
@@ -259,14 +259,11 @@
 	}
 }
 
-func (g *Governor) begin(*Governor) { g.host.Log("gate open") }
-
 // learn folds in what reports brought, with the design's memory of about ten, and judges by it. Where fewer
 // lines may come in than there are replicas, one covers several periods: rates go by the time since the last.
 // Stress is the time of good tries over the objective, more with errors, at the median replica; and, where
 // reported, the work seen of late over the room of those that stay in, where a drain shows, or at the median.
 func (g *Governor) learn() {
-	const memory, full = 10, 0.85 // full is the level of work that sheds
 	waiting, work, room := false, 0.0, 0.0
 	var paces, busy []float64
 	for _, r := range g.replicas {
@@ -274,7 +271,7 @@
 		if r.fresh.tries > 0 {
 			r.fresh.span = float64(g.now - r.heardAt)
 			periods := max(r.fresh.span/float64(g.terms.Period), 1)
-			r.all.fold(r.fresh, math.Pow(1-1.0/memory, periods))
+			r.all.fold(r.fresh, math.Pow(0.9, periods)) // about ten
 			r.brief.fold(r.fresh, math.Pow(0.5, periods))
 			r.fresh, r.heardAt = sums{}, g.now
 		}
@@ -285,6 +282,8 @@
 		} else if r.pace = 0; b.errored >= 2 {
 			r.pace = 1.5
 		}
+		// Two thirds of errors draw proxies that avoid what fails away as lateness does.
+		r.risk = max(r.pace, 1.2*r.brief.errored/max(r.brief.tries, 1))
 		if r.member() && r.pace > 0 {
 			paces = append(paces, r.pace)
 		}
@@ -302,9 +301,10 @@
 		g.stress *= min(1, median(busy)/0.7)
 	}
 	if room > 0 {
-		g.stress = max(g.stress, sheds*max(work/room, median(busy))/full)
+		g.stress = max(g.stress, sheds*max(work/room, median(busy))/0.85) // so full is short
 	}
-	g.colds = float64(g.count(func(r *replica) bool { return g.cold(r) && !r.back })) / float64(max(g.count((*replica).in), 1))
+	news := g.count(func(r *replica) bool { return g.cold(r) && !r.back })
+	g.colds = float64(news) / float64(max(g.count((*replica).in), 1))
 	if !waiting {
 		apply(g, gateMoves, &g.gate, allHeard, g)
 	}
@@ -360,10 +360,8 @@
 func (g *Governor) judge() {
 	all, ages := sums{}, []float64{}
 	for _, r := range g.replicas {
-		if r.in() {
-			all.fold(r.brief, 1)
-		}
 		if r.in() && r.due > 0 {
+			all.fold(r.brief, 1)
 			ages = append(ages, float64(g.now-r.heardAt))
 		}
 	}
@@ -420,7 +418,7 @@
 	ease := min(max(2-2*g.stress/sheds, 0), 1) * max(0, 3*float64(full)/float64(max(members, 1))-2)
 	for _, t := range g.tables {
 		var near, far sums
-		var paces []float64
+		var paces, risks []float64
 		for _, l := range t.lines {
 			if l.r.member() && l.r.zone == t.zone {
 				near.fold(l.r.all, 1)
@@ -428,10 +426,10 @@
 				far.fold(l.r.all, 1)
 			}
 			if l.r.in() {
-				paces = append(paces, l.r.pace)
+				paces, risks = append(paces, l.r.pace), append(risks, l.r.risk)
 			}
 		}
-		t.pace = median(paces)
+		t.pace, t.risk = median(paces), median(risks)
 		if t.far = base; near.good >= 1 && far.good >= 1 {
 			ratio := near.latency / near.good / max(far.latency/far.good, 1)
 			t.far = min(max(math.Pow(base, ease)*ratio, base), 1)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -136,6 +136,17 @@
 	}
 }
 
+func TestErringTable(t *testing.T) {
+	// Found by the hunt for broken rules: most replicas refused connections at once, and all ran to the one
+	// that had just restarted.
+	h := begin(t, 8, nil)
+	h.run(5, h.all(8))
+	h.run(3, h.each(2, 8, 10, 8, 100*fleet.Millisecond))
+	h.change(fleet.Ready, h.now-1, 1)
+	h.settle()
+	failIf(t, !h.out[id(1)], "the cold replica takes the run")
+}
+
 func TestManyCold(t *testing.T) {
 	for name, known := range map[string]bool{
 		// Found by an incident: a fleet that doubled in a jam had its new replicas held out, and stayed jammed.
--- a/decide/state.go
+++ b/decide/state.go
@@ -42,6 +42,7 @@
 	zone  int
 	width int     // lines that it needs
 	pace  float64 // of the median line, see learn
+	risk  float64 // the same with errors alone
 	lines []*line
 	users []*proxy
 	usual float64 // invocations a second that usually come to its users
@@ -57,17 +58,17 @@
 }
 
 type replica struct {
-	id                      fleet.ReplicaID
-	zone                    int
-	state                   state
-	since, easedAt, heardAt fleet.Micros
-	lines                   []*line
-	fresh, all, brief       sums    // what proxies met there: since the last report, over ten, over two
-	busy, pace, due, draws  float64 // cores in use; see learn; see weigh
-	busyAt                  fleet.Micros
-	rests, stamp            int  // rests in a row; for dueTime
-	heard, told, back       bool // named in a report; its withdrawal was sent, last at toldAt; it restarted
-	toldAt                  fleet.Micros
+	id                           fleet.ReplicaID
+	zone                         int
+	state                        state
+	since, easedAt, heardAt      fleet.Micros
+	lines                        []*line
+	fresh, all, brief            sums    // what proxies met there: since the last report, over ten, over two
+	busy, pace, risk, due, draws float64 // cores in use; see learn; see weigh
+	busyAt                       fleet.Micros
+	rests, stamp                 int  // rests in a row; for dueTime
+	heard, told, back            bool // named in a report; its withdrawal was sent, last at toldAt; it restarted
+	toldAt                       fleet.Micros
 }
 
 type proxy struct {
