Binds are charged by the longest table; a solve without room starts where it stood

Found on reading: a bind was charged by the told width, though a table may be wider, and the turn moved while the loop went on.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -67,7 +67,7 @@
 	byProxy                         map[fleet.ProxyID]*proxy
 	tables                          []*table
 	zones                           [][]*table // the same by zone
-	width, turn                     int        // lines that a table needs; where the next solve starts
+	width, longest, turn            int        // lines that a table needs, that the longest has; the next solve's first
 	due                             []dueTime
 	unacked, aged, receipt, chances int       // aged: see weighQueue
 	loose                           int       // proxies not bound
@@ -461,8 +461,7 @@
 
 // lay makes a zone's tables. A line costs connections, handshakes and orders: it is wanted for a try each 2.5
 // s, or more where orders are dear, up to a quarter of the connections of the smallest replica. Eight at
-// least, to lose a few, and so many that eighteen proxies feed each replica, which evens them out; two thirds
-// near.
+// least, to lose a few, and so many that eighteen proxies feed each replica, to even them out; 2/3 near.
 func (g *Governor) lay(zone int) {
 	usual, n, proxies := 0.0, float64(len(g.replicas)), float64(max(g.terms.Proxies, 1))
 	for _, p := range g.proxies {
@@ -513,6 +512,7 @@
 		}
 		l := &line{r: pick, t: t}
 		t.lines, pick.lines = append(t.lines, l), append(pick.lines, l)
+		g.longest = max(g.longest, len(t.lines))
 	}
 }
 
@@ -625,11 +625,11 @@
 	quota := 1 + len(g.proxies)/5
 	g.loose = 0
 	for _, p := range g.proxies {
-		switch one := []*proxy{p}; {
+		switch one, lines := []*proxy{p}, 2+2*g.longest; {
 		case p.state != loose:
-		case g.gate == shut && g.bare(p.zone) && g.pay(one, 2+2*g.width, urgent, 1):
+		case g.gate == shut && g.bare(p.zone) && g.pay(one, lines, urgent, 1):
 			apply(g, proxyMoves, &p.state, atRisk, p)
-		case g.gate == open && g.beaten && quota > 0 && g.pay(one, 2+2*g.width, 0.5, 2):
+		case g.gate == open && g.beaten && quota > 0 && g.pay(one, lines, 0.5, 2):
 			quota--
 			apply(g, proxyMoves, &p.state, turn, p)
 		default:
@@ -705,8 +705,9 @@
 		g.fill(zone)
 	}
 	g.weigh()
+	first := g.turn
 	for k := range g.tables {
-		t, most := g.tables[(g.turn+k)%len(g.tables)], 0.7
+		t, most := g.tables[(first+k)%len(g.tables)], 0.7
 		if t.open() < 3 {
 			most = urgent
 		}
@@ -720,7 +721,7 @@
 			t.width = t.open() + 2
 		}
 		if due = g.order(t, 0.5, 3, step); !due {
-			g.turn += k
+			g.turn = first + k
 		}
 	}
 }
