Cold replicas are held from 0.7 of the objective or seven errors in ten

Cause, logged: a table with one heavy proxy went from 0.21 of the objective to 0.72 in a second, the hold from 0.8 came after the run.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -67,7 +67,7 @@
 	byProxy                         map[fleet.ProxyID]*proxy
 	tables                          []*table
 	zones                           [][]*table // the same by zone
-	width, longest, turn            int        // lines that a table needs, that the longest has; the next solve's first
+	width, longest, turn            int        // lines wanted and most lines of a table; the next first one
 	due                             []dueTime
 	unacked, aged, receipt, chances int       // aged: see weighQueue
 	loose                           int       // proxies not bound
@@ -190,7 +190,7 @@
 // in untold tables at full weight, and while a table nears a jam, which sums tell late: proxies that avoid
 // what fails would run to it, unless half of the fleet is new and cold, which shares that run and is needed.
 func (g *Governor) out(r *replica) bool {
-	jam := g.stress > jammed || slices.ContainsFunc(r.lines, func(l *line) bool { return l.t.risk > 0.8 })
+	jam := g.stress > jammed || slices.ContainsFunc(r.lines, func(l *line) bool { return l.t.risk > 0.7 })
 	return !r.in() || g.cold(r) && (g.gate == shut || g.terms.Avoids && jam && g.colds < 0.5)
 }
 
@@ -282,8 +282,8 @@
 		} else if r.pace = 0; b.errored >= 2 {
 			r.pace = 1.5
 		}
-		// Two thirds of errors draw proxies that avoid what fails away as lateness does.
-		r.risk = max(r.pace, 1.2*r.brief.errored/max(r.brief.tries, 1))
+		// Errors drive proxies that avoid what fails away as lateness does.
+		r.risk = max(r.pace, r.brief.errored/max(r.brief.tries, 1))
 		if r.member() && r.pace > 0 {
 			paces = append(paces, r.pace)
 		}
