Nearness gives way where a table's own near lines are not in full

Cause, logged: the fleet was in full but for a tenth, so the hall's new tables held 13 cold near lines at a quarter beside 8 far ones at a third: two thirds of the hall's traffic went to its cold replicas. Change: the preference gives way as a third of the table's near lines, or of the fleet, is not in full; also before anything is heard.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -186,9 +186,8 @@
 // sheds is the stress that sheds: with half of the objective in the mean, the slower part is late.
 const calm, sheds, jammed = 0.4, 0.5, 1.0
 
-// out tells whether a replica is shut out everywhere. A cold one is while the gate is shut, as it may stand
-// in untold tables at full weight, and while a table nears a jam, which sums tell late: proxies that avoid
-// what fails would run to it, unless half of the fleet is new and cold, which shares that run and is needed.
+// out tells whether a replica is shut out everywhere: a cold one while the gate is shut, as untold tables
+// hold it in full, and while a table nears a jam, as proxies would run to it, unless half the fleet is new.
 func (g *Governor) out(r *replica) bool {
 	jam := g.stress > jammed || slices.ContainsFunc(r.lines, func(l *line) bool { return l.t.risk > 0.7 })
 	return !r.in() || g.cold(r) && (g.gate == shut || g.terms.Avoids && jam && g.colds < 0.5)
@@ -259,10 +258,9 @@
 	}
 }
 
-// learn folds in what reports brought, with the design's memory of about ten, and judges by it. Where fewer
-// lines may come in than there are replicas, one covers several periods: rates go by the time since the last.
-// Stress is the time of good tries over the objective, more with errors, at the median replica; and, where
-// reported, the work seen of late over the room of those that stay in, where a drain shows, or at the median.
+// learn folds in what reports brought, over about ten. A line may cover several periods: rates go by the time
+// since the last. Stress is the time of good tries over the objective, more with errors, at the median
+// replica; or, where reported, the busy cores at the median, or of all over the room of those that stay in.
 func (g *Governor) learn() {
 	waiting, work, room := false, 0.0, 0.0
 	var paces, busy []float64
@@ -402,8 +400,7 @@
 // replica's own, the unheard as average. The rate counts beside what the priors of its lines are due, and by
 // the root, or a weight would feed on the traffic that it drew; the little heard leans to the average.
 func (g *Governor) weigh() {
-	var all sums
-	usual := 0.0
+	all, usual := sums{}, 0.0
 	g.rate = 0
 	for _, r := range g.replicas {
 		if r.due = 0; r.member() {
@@ -412,16 +409,20 @@
 		}
 	}
 	// A crossing costs its price for sure: sixty times that lies between what quiet and what jammed days want.
-	// It gives way near the level that sheds, where near ones are slower, and while a third is not in full.
+	// It gives way near the level that sheds, where near ones are slower, and as a third of them or of all is
+	// not in full.
 	base := 1 / (1 + 60*g.terms.CrossPrice)
-	members, full := g.count((*replica).member), g.count(func(r *replica) bool { return r.state == serving })
-	ease := min(max(2-2*g.stress/sheds, 0), 1) * max(0, 3*float64(full)/float64(max(members, 1))-2)
+	ease := min(max(2-2*g.stress/sheds, 0), 1)
+	full := g.count(func(r *replica) bool { return r.state == serving })
+	whole := float64(full) / float64(max(g.count((*replica).member), 1))
 	for _, t := range g.tables {
 		var near, far sums
 		var paces, risks []float64
+		parts, nears := 0.0, 1e-9
 		for _, l := range t.lines {
 			if l.r.member() && l.r.zone == t.zone {
 				near.fold(l.r.all, 1)
+				parts, nears = parts+g.part(l.r), nears+1
 			} else if l.r.member() {
 				far.fold(l.r.all, 1)
 			}
@@ -430,10 +431,11 @@
 			}
 		}
 		t.pace, t.risk = median(paces), median(risks)
-		if t.far = base; near.good >= 1 && far.good >= 1 {
-			ratio := near.latency / near.good / max(far.latency/far.good, 1)
-			t.far = min(max(math.Pow(base, ease)*ratio, base), 1)
+		t.far = math.Pow(base, ease*max(0, 3*min(whole, parts/nears)-2))
+		if near.good >= 1 && far.good >= 1 {
+			t.far *= near.latency / near.good / max(far.latency/far.good, 1)
 		}
+		t.far = min(max(t.far, base), 1)
 		priors := 1e-9
 		for _, l := range t.lines {
 			priors += g.prior(l)
@@ -552,9 +554,8 @@
 	}
 }
 
-// pay books lines for some proxies if they may be ordered now. The channel may be slower than told, so all
-// that is not acknowledged counts as queued, by its age too except for what can't be put off. Spare messages
-// at a proxy are kept for what is more urgent.
+// pay books lines for some proxies if they may be ordered now. The channel may be slower than told: all that
+// is not acknowledged is queued, by its age too. Spare messages are kept for what is more urgent.
 func (g *Governor) pay(proxies []*proxy, lines int, most float64, spare int) bool {
 	head, total, waits := g.terms.Overhead+1+len(g.shares), g.unacked, 0
 	if most < urgent {
@@ -583,9 +584,8 @@
 	return true
 }
 
-// shutOut orders a replica out, or back in, if that fits all proxies that hold a line to it. All that is
-// charged must be answered, or the ledger fills with lines that never left: while one is on untold tables,
-// all answer.
+// shutOut orders a replica out, or back in, if that fits all proxies that hold a line to it. What is charged
+// must be answered, or the ledger fills up: while a proxy is on untold tables, all answer.
 func (g *Governor) shutOut(r *replica, out bool, most float64, spare int) {
 	var holders []*proxy
 	for _, l := range r.lines {
@@ -638,8 +638,8 @@
 	}
 }
 
-// bare tells whether withdrawals may have emptied a standing table: it holds few lines, untold which, of its
-// proxy's zone if three replicas are there, else of all.
+// bare tells whether withdrawals may have emptied a standing table: few lines, of its zone if three are
+// there.
 func (g *Governor) bare(zone int) bool {
 	near := func(r *replica) bool { return r.zone == zone }
 	if g.count(near) < 3 {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -297,6 +297,20 @@
 		h.run(2, nil)
 		failIf(t, h.g.unacked != 0, "%d lines are held for nobody", h.g.unacked)
 	})
+	t.Run("a hall that comes back cold leaves its proxies to the others", func(t *testing.T) {
+		// Found by the hunt for broken rules: near first sent two thirds of a hall's traffic to its cold replicas.
+		h := begin(t, 24, func(terms *fleet.Terms) { terms.Avoids = false })
+		var entries []fleet.Listing
+		for k := 1; k <= 24; k++ {
+			entries = append(entries, ready(k, min(k/6, 1)))
+			if k < 6 {
+				entries[k-1].Since = h.now
+			}
+		}
+		h.g.Listed(h.now, fleet.Whole, entries)
+		h.run(5, h.all(24))
+		failIf(t, h.weights[id(9)] < 2.5*h.weights[id(2)], "far %v, near and cold %v", h.weights[id(9)], h.weights[id(2)])
+	})
 	t.Run("sums that cover several periods make none silent", func(t *testing.T) {
 		h := wide(t)
 		k := 0
