Cold replicas stay out of tables of one proxy; tables of a zone are rounded down

Change: a table of one proxy holds cold replicas out; a zone's tables are rounded down, so that a fleet of one zone that fits one table has one.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -187,9 +187,11 @@
 const calm, sheds, jammed = 0.4, 0.5, 1.0
 
 // out tells whether a replica is shut out everywhere: a cold one while the gate is shut, as untold tables
-// hold it in full, and while a table nears a jam, as proxies would run to it, unless half the fleet is new.
+// hold it in full, and in a table near a jam, or of one proxy, whose run no sum tells, unless half the fleet
+// is new.
 func (g *Governor) out(r *replica) bool {
-	jam := g.stress > jammed || slices.ContainsFunc(r.lines, func(l *line) bool { return l.t.risk > 0.7 })
+	near := func(l *line) bool { return l.t.risk > 0.7 || len(l.t.users) == 1 }
+	jam := g.stress > jammed || slices.ContainsFunc(r.lines, near)
 	return !r.in() || g.cold(r) && (g.gate == shut || g.terms.Avoids && jam && g.colds < 0.5)
 }
 
@@ -352,9 +354,9 @@
 	}
 }
 
-// judge tells replicas that answer nothing: silent machines, crashes not yet listed, cut links. One shows
-// first as errors, then as no lines at all; late sums leave all quiet alike and an overloaded fleet errs
-// alike, so it is judged beside the others. With a third out the rest stay in, or those that answer tip over.
+// judge tells replicas that answer nothing: first errors, then no lines. Late sums leave all quiet and
+// overload errs alike, so each is judged beside the others; with a third out the rest stay in, not to tip
+// over.
 func (g *Governor) judge() {
 	all, ages := sums{}, []float64{}
 	for _, r := range g.replicas {
@@ -409,8 +411,7 @@
 		}
 	}
 	// A crossing costs its price for sure: sixty times that lies between what quiet and what jammed days want.
-	// It gives way near the level that sheds, where near ones are slower, and as a third of them or of all is
-	// not in full.
+	// It gives way near shedding, to quicker far ones, and as a third of the near or of all is not in full.
 	base := 1 / (1 + 60*g.terms.CrossPrice)
 	ease := min(max(2-2*g.stress/sheds, 0), 1)
 	full := g.count(func(r *replica) bool { return r.state == serving })
@@ -475,7 +476,7 @@
 		g.width = int(min(max(8, 18*n/proxies, min(tries, conns)), float64(g.width)))
 	}
 	near := g.count(func(r *replica) bool { return r.zone == zone && r.member() })
-	for range max(1, (3*near+g.width)/(2*g.width)) {
+	for range max(1, 3*near/(2*g.width)) {
 		t := &table{id: fleet.TableID(len(g.tables)), zone: zone, width: g.width}
 		g.tables, g.zones[zone] = append(g.tables, t), append(g.zones[zone], t)
 	}
@@ -602,8 +603,7 @@
 	}
 }
 
-// withdraw shuts replicas out for all joined proxies, and again on a beat that leaves a later one unbound. If
-// none is left in, those that rest come back: a bare proxy is worse than one that errs.
+// withdraw shuts replicas out, again for later joiners. If none is left in, those that rest come back.
 func (g *Governor) withdraw() {
 	none := g.count(g.out) == len(g.replicas)
 	for _, r := range g.replicas {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -147,6 +147,16 @@
 	failIf(t, !h.out[id(1)], "the cold replica takes the run")
 }
 
+func TestOneProxy(t *testing.T) {
+	// Found by the hunt for broken rules: a table's one heavy proxy ran to its cold replicas within a second.
+	h := begin(t, 8, nil)
+	h.g.Left(h.now, 2)
+	h.run(5, h.all(8))
+	h.change(fleet.Ready, h.now-1, 1)
+	h.settle()
+	failIf(t, !h.out[id(1)], "a cold replica stands in the table of one proxy")
+}
+
 func TestManyCold(t *testing.T) {
 	for name, known := range map[string]bool{
 		// Found by an incident: a fleet that doubled in a jam had its new replicas held out, and stayed jammed.
