--- a/decide/decide.go
+++ b/decide/decide.go
@@ -476,7 +476,7 @@
 		g.width = int(min(max(8, 18*n/proxies, min(tries, conns)), float64(g.width)))
 	}
 	near := g.count(func(r *replica) bool { return r.zone == zone && r.member() })
-	for range max(1, 3*near/(2*g.width)) {
+	for range max(1, (3*near+g.width-1)/(2*g.width)) {
 		t := &table{id: fleet.TableID(len(g.tables)), zone: zone, width: g.width}
 		g.tables, g.zones[zone] = append(g.tables, t), append(g.zones[zone], t)
 	}
