--- a/decide/host_test.go
+++ b/decide/host_test.go
@@ -100,6 +100,13 @@
 	return h
 }
 
+// warm lets twelve good seconds pass after that: the gate is open and all is learnt.
+func warm(t *testing.T, n int, change func(*fleet.Terms)) *fakeHost {
+	h := begin(t, n, change)
+	h.run(12, h.all(n))
+	return h
+}
+
 func (h *fakeHost) join(p fleet.ProxyID) {
 	h.joined = append(h.joined, p)
 	h.g.Joined(h.now, p, 0, 10)
