No new line to a replica that is out

Cause: a replica held out when no proxy had its line got its line with a later solve; those proxies had never been sent the withdrawal, which stood as told, and went on when it was gone. Change: new lines wait until it is let in.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -660,12 +660,12 @@
 	g.host.Bind(p.id, t.id)
 }
 
-// order sends those of a table's lines that change and are asked for, if they fit.
+// order sends the asked lines that change, if they fit; none new to what is out: its withdrawal missed it.
 func (g *Governor) order(t *table, most float64, spare int, asked func(*line) bool) bool {
 	var lines []*line
 	for _, l := range t.lines {
 		l.next = g.prior(l) * l.r.draws
-		if asked(l) && l.next != l.weight {
+		if asked(l) && l.next != l.weight && (l.weight > 0 || !g.out(l.r)) {
 			lines = append(lines, l)
 		}
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -133,8 +133,7 @@
 }
 
 func TestErringTable(t *testing.T) {
-	// Found by the hunt for broken rules: most replicas refused connections at once, and all ran to the one
-	// that had just restarted.
+	// Found by the hunt for broken rules: most replicas refused connections, and all ran to the one just started.
 	h := warm(t, 8, nil)
 	h.run(3, h.each(2, 8, 10, 8, 100*fleet.Millisecond))
 	h.change(fleet.Ready, h.now-1, 1)
@@ -150,6 +149,10 @@
 	h.change(fleet.Ready, h.now-1, 1)
 	h.settle()
 	failIf(t, !h.out[id(1)], "a cold replica stands in the table of one proxy")
+	// Found by that hunt too: a line laid while its replica was held out never heard of the withdrawal.
+	h.change(fleet.Ready, h.now-1, 9)
+	h.run(2, h.all(8))
+	failIf(t, h.weights[id(9)] != 0, "a new line to what is out")
 }
 
 func TestManyCold(t *testing.T) {
