--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -33,7 +33,6 @@
 	t.Run("sends drain withdrawals while shut", func(t *testing.T) {
 		h := begin(t, 8, nil)
 		h.drain(2)
-		h.settle()
 		failIf(t, !h.out[id(2)] || len(h.bound) != 0, "out %v, bound %v", h.out, h.bound)
 	})
 }
@@ -49,7 +48,6 @@
 		h.settle()
 		failIf(t, len(h.bound) != 0, "three out of standing tables of four leave a line")
 		h.drain(4)
-		h.settle()
 		failIf(t, len(h.bound) != 2 || h.weights[id(5)] <= 0, "bound %v on %v", h.bound, h.weights)
 	})
 	t.Run("resting replicas come back if none is left in", func(t *testing.T) {
@@ -66,13 +64,11 @@
 	h := warm(t, 8, nil)
 	t.Run("at once", func(t *testing.T) {
 		h.gone(2)
-		h.settle()
 		failIf(t, !h.out[id(2)], "not withdrawn")
 	})
 	t.Run("again for a proxy that joins while the gate is shut, once there is room", func(t *testing.T) {
 		h := begin(t, 8, nil)
 		h.gone(2)
-		h.settle()
 		delete(h.out, id(2))
 		h.g.unacked += 5000
 		h.join(3)
@@ -214,7 +210,6 @@
 		h := warm(t, 8, nil)
 		h.acks = false
 		h.gone(1)
-		h.settle()
 		h.g.proxies[0].unacked[0].lines += 1000
 		h.g.unacked += 1000
 		h.run(4, nil)
@@ -222,7 +217,6 @@
 		h.run(2, func() { h.heard(2, 10, 0, 900*fleet.Millisecond) })
 		failIf(t, len(h.orders) != moved, "orders %v", h.orders[moved:])
 		h.gone(3)
-		h.settle()
 		failIf(t, !h.out[id(3)], "the drain waits behind them")
 	})
 	t.Run("only proxies that hold a line are charged for its withdrawal", func(t *testing.T) {
@@ -230,7 +224,6 @@
 		h := warm(t, 8, nil)
 		h.g.Listed(h.now, fleet.Change, []fleet.Listing{ready(20, 0)})
 		h.gone(20)
-		h.settle()
 		failIf(t, h.g.unacked != 0, "%d lines wait for an answer that nobody owes", h.g.unacked)
 	})
 }
--- a/decide/host_test.go
+++ b/decide/host_test.go
@@ -157,8 +157,8 @@
 	h.g.Listed(h.now, fleet.Change, entries)
 }
 
-func (h *fakeHost) gone(numbers ...int)  { h.change(fleet.Gone, 0, numbers...) }
-func (h *fakeHost) drain(numbers ...int) { h.change(fleet.Draining, 0, numbers...) }
+func (h *fakeHost) gone(numbers ...int)  { h.change(fleet.Gone, 0, numbers...); h.settle() }
+func (h *fakeHost) drain(numbers ...int) { h.change(fleet.Draining, 0, numbers...); h.settle() }
 
 // busy reports ten good tries of so many milliseconds with that share of the cores in use.
 func (h *fakeHost) busy(from, to, ms int, share float64) {
