Tidy: count a table's open lines, bare zones and busy cores once each

Read once more: fill counted a table's open lines again for each replica looked at, bindTurn worked out whether a zone may be bare for each of its proxies, learn sorted the busy cores twice. Each is done once now. Comments reworded, one long line in simwire split.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -187,8 +187,7 @@
 const calm, sheds, jammed = 0.4, 0.5, 1.0
 
 // out tells whether a replica is shut out everywhere: a cold one while the gate is shut, as untold tables
-// hold it in full, and in a table near a jam, or of one proxy, whose run no sum tells, unless half the fleet
-// is new.
+// hold it in full, and in a table near a jam, or of one proxy, whose run no sum tells, unless half is new.
 func (g *Governor) out(r *replica) bool {
 	near := func(l *line) bool { return l.t.risk > 0.7 || len(l.t.users) == 1 }
 	jam := g.stress > jammed || slices.ContainsFunc(r.lines, near)
@@ -295,13 +294,14 @@
 			room += g.part(r)
 		}
 	}
+	mid := median(busy)
 	g.pace = median(paces)
 	if g.stress = g.pace; len(busy) > 0 {
 		// Tries may be slow for other reasons than full replicas: below 70% in use few of them wait.
-		g.stress *= min(1, median(busy)/0.7)
+		g.stress *= min(1, mid/0.7)
 	}
 	if room > 0 {
-		g.stress = max(g.stress, sheds*max(work/room, median(busy))/0.85) // so full is short
+		g.stress = max(g.stress, sheds*max(work/room, mid)/0.85) // so full is short
 	}
 	news := g.count(func(r *replica) bool { return g.cold(r) && !r.back })
 	g.colds = float64(news) / float64(max(g.count((*replica).in), 1))
@@ -345,8 +345,7 @@
 }
 
 // sendLevels orders the shares, and one way for all: a further try on proof that the first never ran, safe
-// for every effect and any table; none while the fleet is short or a quarter new, as tries turned away would
-// treble.
+// for every effect and table; none while the fleet is short or a quarter new, as tries turned away treble.
 func (g *Governor) sendLevels() {
 	copy(g.told, g.shares)
 	for i, s := range g.shares {
@@ -355,8 +354,7 @@
 }
 
 // judge tells replicas that answer nothing: first errors, then no lines. Late sums leave all quiet and
-// overload errs alike, so each is judged beside the others; with a third out the rest stay in, not to tip
-// over.
+// overload errs alike, so each is judged beside the others; with a third out the rest stay in.
 func (g *Governor) judge() {
 	all, ages := sums{}, []float64{}
 	for _, r := range g.replicas {
@@ -493,7 +491,7 @@
 	for len(g.zones[zone]) > 0 {
 		t := slices.MinFunc(g.zones[zone], func(a, b *table) int { return a.open() - a.width - b.open() + b.width })
 		var pick *replica
-		best := 0
+		best, open := 0, t.open()
 		for _, r := range g.replicas {
 			score, there := len(r.lines), false
 			for _, l := range r.lines {
@@ -505,12 +503,12 @@
 				score += 1000
 			}
 			// Beyond the width a far cold one is not wanted: it would take the run of a zone that is short.
-			fits := r.in() && !there && (r.zone == zone || t.open() < g.width || !g.cold(r))
+			fits := r.in() && !there && (r.zone == zone || open < g.width || !g.cold(r))
 			if fits && (pick == nil || score < best) {
 				pick, best = r, score
 			}
 		}
-		if pick == nil || t.open() >= t.width && best >= 1000 {
+		if pick == nil || open >= t.width && best >= 1000 {
 			return
 		}
 		l := &line{r: pick, t: t}
@@ -622,12 +620,15 @@
 
 // bindTurn binds a fifth of the proxies a beat once the gate is open; before that only one that may be bare.
 func (g *Governor) bindTurn() {
-	quota := 1 + len(g.proxies)/5
+	quota, risk := 1+len(g.proxies)/5, make([]bool, len(g.zones))
+	for zone := range risk {
+		risk[zone] = g.gate == shut && g.bare(zone)
+	}
 	g.loose = 0
 	for _, p := range g.proxies {
 		switch one, lines := []*proxy{p}, 2+2*g.longest; {
 		case p.state != loose:
-		case g.gate == shut && g.bare(p.zone) && g.pay(one, lines, urgent, 1):
+		case risk[p.zone] && g.pay(one, lines, urgent, 1):
 			apply(g, proxyMoves, &p.state, atRisk, p)
 		case g.gate == open && g.beaten && quota > 0 && g.pay(one, lines, 0.5, 2):
 			quota--
@@ -638,8 +639,7 @@
 	}
 }
 
-// bare tells whether withdrawals may have emptied a standing table: few lines, of its zone if three are
-// there.
+// bare tells whether withdrawals may have emptied a standing table: few lines, of its zone if it has three.
 func (g *Governor) bare(zone int) bool {
 	near := func(r *replica) bool { return r.zone == zone }
 	if g.count(near) < 3 {
--- a/simwire/terms.go
+++ b/simwire/terms.go
@@ -71,7 +71,8 @@
 		Seed: seed, Proxies: x.Proxies, ConnsLeast: int(x.ConnsLeast),
 		Zones: len(o.Zones), Subscribe: o.Membership == "subscribe", Admits: x.Admission == "ratio",
 		AdmitAll: 1, Avoids: x.Ejects > 0, StandingSize: x.DefaultSize, Period: micros(x.Period),
-		Overhead: int(math.Ceil(x.Overhead)), QueueMost: int(x.PendingMax), MessagesMost: x.MessagesMost, MessagesSpan: micros(x.MessagesSpan),
+		Overhead: int(math.Ceil(x.Overhead)), QueueMost: int(x.PendingMax),
+		MessagesMost: x.MessagesMost, MessagesSpan: micros(x.MessagesSpan),
 		CrossPrice: o.Prices.CrossZone, PushPrice: x.PushPrice, BusyField: -1, Cold: micros(o.Guarantees.Cold),
 	}
 	if x.Admission == "rps" {
