The channel's vocabulary on RESP3: table messages, joins, receipts, sums

Need: governor, forwarder and checker must read the same bytes alike. Change: tablewire encodes and checks them; versions chain by Prev so that a gap shows; a start byte that opens no HTTP is told even with its line whole (found by fuzzing). Result: round trips and refusals tested, fuzzed for some seconds without a find.

--- a/httpwire/httpwire.go
+++ b/httpwire/httpwire.go
@@ -132,10 +132,11 @@
 		p.line = append(p.line, whole...)
 		whole = p.line
 	}
+	// A first byte that begins no message is told at once: such a peer may never send a line end.
+	if c := whole[0]; p.now == nil && p.stage == inHead && c <= ' ' && c != '\r' && c != '\n' {
+		return nil, p.fault(400, "no HTTP: the first byte is %#x", c)
+	}
 	if i < 0 {
-		if p.now == nil && p.stage == inHead && whole[0] < ' ' && whole[0] != '\r' {
-			return nil, p.fault(400, "no HTTP: the first byte is %#x", whole[0])
-		}
 		return nil, nil
 	}
 	text := string(bytes.TrimSuffix(whole[:len(whole)-1], []byte("\r")))
--- /dev/null
+++ b/tablewire/tablewire.go
@@ -0,0 +1,282 @@
+// Package tablewire is the channel's vocabulary on RESP3: what a governor pushes to a forwarder, and what a
+// forwarder says. It turns values of package resp into plain ones and back, and checks them.
+//
+// A governor pushes one kind of thing, a Message. Its version is the governor's, its Prev the version of the
+// message sent to this forwarder before: where Prev is not what the forwarder holds, something is missing and
+// it asks for a snapshot (RESYNC). Life grows with each start of the governor; nothing of an earlier life is
+// taken for the present one. docs/channel.md is the page for writers of forwarders.
+package tablewire
+
+import (
+	"fmt"
+	"math"
+	"net/netip"
+	"strconv"
+
+	"peppervale/fleet"
+	"peppervale/resp"
+)
+
+// Line is a replica in a table with its weight, 0 to remove it.
+type Line struct {
+	Replica fleet.ReplicaID
+	Weight  float64
+}
+
+// Shut says that a replica is out of every table, or back.
+type Shut struct {
+	Replica fleet.ReplicaID
+	Out     bool
+}
+
+// Level is the share of some operations (a bit each) that is let in, and when to try another replica.
+type Level struct {
+	Operations uint16
+	Share      float64
+	Way        fleet.Way
+}
+
+// Message is one push: a change of what the forwarder holds, or (Whole) all of it anew.
+type Message struct {
+	Whole         bool
+	Life          uint64
+	Prev, Version uint64
+	Ordered       fleet.Micros // the governor's clock when it was ordered, microseconds since 1970
+	Cost          int          // lines that it counts in the channel's queue
+	Receipt       int          // number to acknowledge; -1: none is asked for
+	Bound         bool         // Whole only: the forwarder is on a table of the governor's; else it keeps its own
+	Table         fleet.TableID
+	Lines         []Line
+	Shuts         []Shut
+	Levels        []Level
+}
+
+// Address is a replica's id in text.
+func Address(r fleet.ReplicaID) string {
+	return netip.AddrPortFrom(netip.AddrFrom4(r.Addr), r.Port).String()
+}
+
+// ParseAddress reads an IPv4 address and port.
+func ParseAddress(text string) (fleet.ReplicaID, error) {
+	a, err := netip.ParseAddrPort(text)
+	if err != nil || !a.Addr().Is4() || a.Port() == 0 {
+		return fleet.ReplicaID{}, fmt.Errorf("%.60q is no IPv4 address with a port", text)
+	}
+	return fleet.ReplicaID{Addr: a.Addr().As4(), Port: a.Port()}, nil
+}
+
+// Append writes a message as a push.
+func Append(b []byte, m *Message) []byte {
+	b = resp.AppendHead(b, resp.Push, 12)
+	if m.Whole {
+		b = resp.AppendBulk(b, "snapshot")
+	} else {
+		b = resp.AppendBulk(b, "change")
+	}
+	for _, n := range [...]int64{int64(m.Life), int64(m.Prev), int64(m.Version), int64(m.Ordered), int64(m.Cost),
+		int64(m.Receipt)} {
+		b = resp.AppendInt(b, n)
+	}
+	b = resp.AppendBool(b, m.Bound)
+	b = resp.AppendInt(b, int64(m.Table))
+	b = resp.AppendHead(b, resp.Array, 2*len(m.Lines))
+	for _, l := range m.Lines {
+		b = resp.AppendDouble(resp.AppendBulk(b, Address(l.Replica)), l.Weight)
+	}
+	b = resp.AppendHead(b, resp.Array, 2*len(m.Shuts))
+	for _, s := range m.Shuts {
+		b = resp.AppendBool(resp.AppendBulk(b, Address(s.Replica)), s.Out)
+	}
+	b = resp.AppendHead(b, resp.Array, 3*len(m.Levels))
+	for _, l := range m.Levels {
+		b = resp.AppendDouble(resp.AppendInt(b, int64(l.Operations)), l.Share)
+		b = resp.AppendInt(b, int64(l.Way))
+	}
+	return b
+}
+
+// IsMessage tells a table message from other pushes.
+func IsMessage(v resp.Value) bool {
+	return v.Kind == resp.Push && len(v.Items) > 0 && (v.Items[0].Text == "snapshot" || v.Items[0].Text == "change")
+}
+
+// Parse reads a push that IsMessage.
+func Parse(v resp.Value) (*Message, error) {
+	if !IsMessage(v) || len(v.Items) != 12 {
+		return nil, fmt.Errorf("a table message has 12 values, this push %d", len(v.Items))
+	}
+	var n [7]int64
+	for i := range n[1:] {
+		if v.Items[i+1].Kind != resp.Number || v.Items[i+1].Int < -1 {
+			return nil, fmt.Errorf("value %d of a table message is no number from 0", i+1)
+		}
+		n[i+1] = v.Items[i+1].Int
+	}
+	m := &Message{Whole: v.Items[0].Text == "snapshot", Life: uint64(n[1]), Prev: uint64(n[2]), Version: uint64(n[3]),
+		Ordered: fleet.Micros(n[4]), Cost: int(n[5]), Receipt: int(n[6]), Bound: v.Items[7].Bool,
+		Table: fleet.TableID(v.Items[8].Int)}
+	lines, shuts, levels := v.Items[9].Items, v.Items[10].Items, v.Items[11].Items
+	if len(lines)%2+len(shuts)%2+len(levels)%3 > 0 {
+		return nil, fmt.Errorf("lines, shuts or levels of a table message do not come in twos and threes")
+	}
+	for i := 0; i < len(lines); i += 2 {
+		r, err := ParseAddress(lines[i].Text)
+		if w := lines[i+1].Float; err != nil || !(w >= 0) || math.IsInf(w, 0) {
+			return nil, fmt.Errorf("line %d of a table: %v, weight %v", i/2, err, w)
+		}
+		m.Lines = append(m.Lines, Line{r, lines[i+1].Float})
+	}
+	for i := 0; i < len(shuts); i += 2 {
+		r, err := ParseAddress(shuts[i].Text)
+		if err != nil {
+			return nil, err
+		}
+		m.Shuts = append(m.Shuts, Shut{r, shuts[i+1].Bool})
+	}
+	for i := 0; i < len(levels); i += 3 {
+		l := Level{uint16(levels[i].Int), levels[i+1].Float, fleet.Way(levels[i+2].Int)}
+		if !(l.Share >= 0) || l.Way > fleet.TwoMore {
+			return nil, fmt.Errorf("level %d: share %v, way %d", i/3, l.Share, l.Way)
+		}
+		m.Levels = append(m.Levels, l)
+	}
+	return m, nil
+}
+
+// Join is a forwarder's first word: JOIN name zone rate fresh life version.
+type Join struct {
+	Name          string
+	Zone          string
+	Rate          float64 // invocations a second that it usually receives
+	Fresh         bool    // it holds its standing table only
+	Life, Version uint64  // what it holds, of this governor; 0: nothing
+}
+
+// NameMost bounds names, in bytes.
+const NameMost = 128
+
+// AppendJoin writes the command.
+func AppendJoin(b []byte, j Join) []byte {
+	fresh := "0"
+	if j.Fresh {
+		fresh = "1"
+	}
+	return resp.AppendCommand(b, "JOIN", j.Name, j.Zone, strconv.FormatFloat(j.Rate, 'g', -1, 64), fresh,
+		strconv.FormatUint(j.Life, 10), strconv.FormatUint(j.Version, 10))
+}
+
+// ParseJoin reads the command's words after its name.
+func ParseJoin(words []resp.Value) (j Join, err error) {
+	if len(words) != 6 {
+		return j, fmt.Errorf("JOIN takes name, zone, rate, fresh, life and version; %d words came", len(words))
+	}
+	j.Name, j.Zone, j.Fresh = words[0].Word(), words[1].Word(), words[3].Word() == "1"
+	if j.Name == "" || len(j.Name) > NameMost {
+		return j, fmt.Errorf("JOIN: a name has 1 to %d bytes", NameMost)
+	}
+	if j.Rate, err = strconv.ParseFloat(words[2].Word(), 64); err != nil || !(j.Rate >= 0) || j.Rate > 1e9 {
+		return j, fmt.Errorf("JOIN: %.40q is no rate", words[2].Word())
+	}
+	if j.Life, err = strconv.ParseUint(words[4].Word(), 10, 63); err != nil {
+		return j, fmt.Errorf("JOIN: %.40q is no life's number", words[4].Word())
+	}
+	if j.Version, err = strconv.ParseUint(words[5].Word(), 10, 63); err != nil {
+		return j, fmt.Errorf("JOIN: %.40q is no version", words[5].Word())
+	}
+	return j, nil
+}
+
+// Ack acknowledges a message and all before it: ACK life version receipt.
+type Ack struct {
+	Life, Version uint64
+	Receipt       int // -1: the message asked for none
+}
+
+// AppendAck writes the command.
+func AppendAck(b []byte, a Ack) []byte {
+	return resp.AppendCommand(b, "ACK", strconv.FormatUint(a.Life, 10), strconv.FormatUint(a.Version, 10),
+		strconv.Itoa(a.Receipt))
+}
+
+// ParseAck reads the command's words after its name.
+func ParseAck(words []resp.Value) (a Ack, err error) {
+	if len(words) != 3 {
+		return a, fmt.Errorf("ACK takes life, version and receipt; %d words came", len(words))
+	}
+	var err1, err2, err3 error
+	a.Life, err1 = strconv.ParseUint(words[0].Word(), 10, 63)
+	a.Version, err2 = strconv.ParseUint(words[1].Word(), 10, 63)
+	a.Receipt, err3 = strconv.Atoi(words[2].Word())
+	if err1 != nil || err2 != nil || err3 != nil {
+		return a, fmt.Errorf("ACK takes three numbers")
+	}
+	return a, nil
+}
+
+// Sums is what a forwarder met since its last report: SUMS number span replica tries errored latency reports ...
+// Number counts a forwarder's reports within its stream from 1: one that came before is dropped.
+type Sums struct {
+	Number uint64
+	Span   fleet.Micros
+	Of     []fleet.Sum // Zone and Span are left to the receiver
+}
+
+// reportMost bounds the figures of one load report.
+const reportMost = 4
+
+// AppendSums writes the command; latency is in microseconds, a report a comma-separated list.
+func AppendSums(b []byte, s Sums) []byte {
+	b = resp.AppendHead(b, resp.Array, 3+5*len(s.Of))
+	b = resp.AppendBulk(b, "SUMS")
+	b = resp.AppendInt(resp.AppendInt(b, int64(s.Number)), int64(s.Span))
+	for _, one := range s.Of {
+		b = resp.AppendBulk(b, Address(one.Replica))
+		b = resp.AppendInt(resp.AppendInt(b, int64(one.Tries)), int64(one.Errored))
+		b = resp.AppendInt(b, int64(one.Latency))
+		b = resp.AppendHead(b, resp.Array, len(one.Report))
+		for _, f := range one.Report {
+			b = resp.AppendDouble(b, f)
+		}
+	}
+	return b
+}
+
+// ParseSums reads the command's words after its name; numbers may come as numbers or as text.
+func ParseSums(words []resp.Value) (s Sums, err error) {
+	if len(words) < 2 || (len(words)-2)%5 != 0 {
+		return s, fmt.Errorf("SUMS takes number, span and five values a replica; %d words came", len(words))
+	}
+	number := func(v resp.Value) (n int64) {
+		if v.Kind == resp.Number {
+			return v.Int
+		}
+		n, e := strconv.ParseInt(v.Word(), 10, 64)
+		if e != nil {
+			err = fmt.Errorf("SUMS: %.40q is no number", v.Word())
+		}
+		return n
+	}
+	s.Number, s.Span = uint64(number(words[0])), fleet.Micros(number(words[1]))
+	for k := 2; k < len(words); k += 5 {
+		one := fleet.Sum{Tries: int(number(words[k+1])), Errored: int(number(words[k+2])), Latency: fleet.Micros(number(words[k+3]))}
+		r, e := ParseAddress(words[k].Word())
+		if e != nil {
+			return s, fmt.Errorf("SUMS: %w", e)
+		}
+		one.Replica = r
+		if len(words[k+4].Items) > reportMost {
+			return s, fmt.Errorf("SUMS: a load report of %d figures, %d are taken", len(words[k+4].Items), reportMost)
+		}
+		for _, f := range words[k+4].Items {
+			one.Report = append(one.Report, f.Float)
+		}
+		if err == nil && (one.Tries < 0 || one.Errored < 0 || one.Errored > one.Tries || one.Latency < 0) {
+			err = fmt.Errorf("SUMS: %s has %d tries, %d errored, %d us", words[k].Word(), one.Tries, one.Errored, one.Latency)
+		}
+		s.Of = append(s.Of, one)
+	}
+	if err == nil && (s.Span <= 0 || s.Span > fleet.Micros(3600)*fleet.Second) {
+		err = fmt.Errorf("SUMS: a span of %d us", s.Span)
+	}
+	return s, err
+}
--- /dev/null
+++ b/tablewire/tablewire_test.go
@@ -0,0 +1,99 @@
+package tablewire
+
+import (
+	"math"
+	"reflect"
+	"testing"
+
+	"peppervale/fleet"
+	"peppervale/resp"
+)
+
+// parsed reads one value back from bytes.
+func parsed(t *testing.T, b []byte) (got resp.Value) {
+	t.Helper()
+	n := 0
+	err := resp.NewReader(resp.Limits{}).Feed(b, func(v resp.Value) error { got, n = v, n+1; return nil })
+	if err != nil || n != 1 {
+		t.Fatalf("%d values: %v", n, err)
+	}
+	return got
+}
+
+func id(n byte) fleet.ReplicaID { return fleet.ReplicaID{Addr: [4]byte{127, 0, 0, n}, Port: 5000} }
+
+func TestEachComesBackAsItWas(t *testing.T) {
+	m := &Message{Whole: true, Life: 3, Prev: 7, Version: 9, Ordered: 1_790_000_000_000_000, Cost: 14, Receipt: 65535,
+		Bound: true, Table: 65534, Lines: []Line{{id(1), 0.1 + 0.2}, {id(2), 0}}, Shuts: []Shut{{id(3), true}},
+		Levels: []Level{{1, 0.25, fleet.WhenUnrun}, {2, math.MaxFloat32, fleet.Never}}}
+	if got, err := Parse(parsed(t, Append(nil, m))); err != nil || !reflect.DeepEqual(got, m) {
+		t.Fatalf("%+v, %v", got, err)
+	}
+	j := Join{Name: "till 7", Zone: "govan", Rate: 3.25, Fresh: true, Life: 4, Version: 5}
+	if got, err := ParseJoin(parsed(t, AppendJoin(nil, j)).Items[1:]); err != nil || got != j {
+		t.Fatalf("%+v, %v", got, err)
+	}
+	a := Ack{Life: 4, Version: 5, Receipt: -1}
+	if got, err := ParseAck(parsed(t, AppendAck(nil, a)).Items[1:]); err != nil || got != a {
+		t.Fatalf("%+v, %v", got, err)
+	}
+	s := Sums{Number: 2, Span: fleet.Second, Of: []fleet.Sum{
+		{Replica: id(1), Tries: 4, Errored: 1, Latency: 1500, Report: []float64{0.5}}, {Replica: id(2), Tries: 1}}}
+	if got, err := ParseSums(parsed(t, AppendSums(nil, s)).Items[1:]); err != nil || !reflect.DeepEqual(got, s) {
+		t.Fatalf("%+v, %v", got, err)
+	}
+}
+
+func TestWhatIsNotTaken(t *testing.T) {
+	word := func(text string) resp.Value { return resp.Value{Kind: resp.Bulk, Text: text} }
+	words := func(texts ...string) (all []resp.Value) {
+		for _, text := range texts {
+			all = append(all, word(text))
+		}
+		return all
+	}
+	for name, err := range map[string]error{
+		"a join without a name":        second(ParseJoin(words("", "govan", "1", "1", "0", "0"))),
+		"a rate that is no number":     second(ParseJoin(words("a", "govan", "NaN", "1", "0", "0"))),
+		"a join cut short":             second(ParseJoin(words("a", "govan"))),
+		"a life below nothing":         second(ParseAck(words("-1", "0", "0"))),
+		"sums with a replica cut":      second(ParseSums(words("1", "1000", "127.0.0.1:1", "1"))),
+		"more errors than tries":       second(ParseSums(append(words("1", "1000", "127.0.0.1:1", "1", "2", "0"), resp.Value{}))),
+		"a replica without a port":     second(ParseSums(append(words("1", "1000", "127.0.0.1", "1", "0", "0"), resp.Value{}))),
+		"a span of nothing":            second(ParseSums(words("1", "0"))),
+		"a push of another kind":       second(Parse(resp.Value{Kind: resp.Push, Items: words("message", "tables", "{}")})),
+		"a table message cut short":    second(Parse(resp.Value{Kind: resp.Push, Items: words("change", "1")})),
+		"a weight below nothing":       second(Parse(parsed(t, Append(nil, &Message{Lines: []Line{{id(1), -1}}})))),
+		"a way that is none of four":   second(Parse(parsed(t, Append(nil, &Message{Levels: []Level{{1, 1, 9}}})))),
+		"a share that is not a number": second(Parse(parsed(t, Append(nil, &Message{Levels: []Level{{1, math.NaN(), 1}}})))),
+	} {
+		if err == nil {
+			t.Errorf("%s is taken", name)
+		}
+	}
+}
+
+func second[T any](_ T, err error) error { return err }
+
+func FuzzCommands(f *testing.F) {
+	f.Add(AppendSums(nil, Sums{Number: 1, Span: 1, Of: []fleet.Sum{{Replica: id(1), Tries: 1, Report: []float64{1}}}}))
+	f.Add(AppendJoin(nil, Join{Name: "a", Zone: "b"}))
+	f.Add(Append(nil, &Message{Lines: []Line{{id(1), 1}}}))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		_ = resp.NewReader(resp.Limits{}).Feed(b, func(v resp.Value) error {
+			if m, err := Parse(v); err == nil {
+				if again, err := Parse(parsed(t, Append(nil, m))); err != nil || again.Version != m.Version || len(again.Lines) != len(m.Lines) {
+					t.Fatalf("%+v came back as %+v, %v", m, again, err)
+				}
+			}
+			if len(v.Items) > 0 {
+				_, _ = ParseJoin(v.Items[1:])
+				_, _ = ParseAck(v.Items[1:])
+				if s, err := ParseSums(v.Items[1:]); err == nil && s.Span <= 0 {
+					t.Fatal("sums over no time are taken")
+				}
+			}
+			return nil
+		})
+	})
+}
