--- /dev/null
+++ b/channel/peer.go
@@ -0,0 +1,238 @@
+package channel
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"peppervale/fleet"
+	"peppervale/resp"
+	"peppervale/tablewire"
+)
+
+// words are the commands that a peer may send. Those marked quiet have no reply: a fault in one comes as an
+// error and ends the connection.
+var words = map[string]func(*peer, []resp.Value) error{
+	"HELLO": (*peer).hello, "PING": (*peer).ping, "CLIENT": (*peer).client, "QUIT": (*peer).quit,
+	"SUBSCRIBE": (*peer).subscribe, "UNSUBSCRIBE": (*peer).unsubscribe,
+	"JOIN": (*peer).joinWord, "ACK": (*peer).ack, "SUMS": (*peer).sumsWord, "RESYNC": (*peer).resync,
+}
+
+func (p *peer) take(v resp.Value) error {
+	if v.Kind != resp.Array || len(v.Items) == 0 {
+		return fmt.Errorf("a command is an array that begins with its name")
+	}
+	name := strings.ToUpper(v.Items[0].Word())
+	do := words[name]
+	if do == nil {
+		known := make([]string, 0, len(words))
+		for w := range words {
+			known = append(known, w)
+		}
+		slices.Sort(known)
+		p.reply(resp.AppendLine(nil, resp.Failure, fmt.Sprintf("ERR unknown command '%.40s'; known are %s", name, strings.Join(known, ", "))))
+		return nil
+	}
+	return do(p, v.Items[1:])
+}
+
+func (p *peer) reply(b []byte) {
+	p.server.mu.Lock()
+	defer p.server.mu.Unlock()
+	p.server.write(p, b)
+}
+
+func (p *peer) ok() { p.reply([]byte("+OK\r\n")) }
+
+func (p *peer) hello(args []resp.Value) error {
+	if len(args) > 0 && args[0].Word() != "3" {
+		p.reply(resp.AppendLine(nil, resp.Failure, "NOPROTO this server speaks protocol 3"))
+		return nil
+	}
+	for _, a := range args {
+		if strings.EqualFold(a.Word(), "AUTH") {
+			p.reply(resp.AppendLine(nil, resp.Failure, "ERR no password is set on this server; leave AUTH out"))
+			return nil
+		}
+	}
+	p.greeted = true
+	b := resp.AppendHead(nil, resp.Map, 7)
+	for _, kv := range [][2]string{{"server", "peppervale"}, {"version", "1"}, {"mode", "standalone"}, {"role", "master"}} {
+		b = resp.AppendBulk(resp.AppendBulk(b, kv[0]), kv[1])
+	}
+	b = resp.AppendInt(resp.AppendBulk(b, "proto"), 3)
+	b = resp.AppendInt(resp.AppendBulk(b, "id"), int64(p.id))
+	b = resp.AppendHead(resp.AppendBulk(b, "modules"), resp.Array, 0)
+	p.reply(b)
+	return nil
+}
+
+func (p *peer) ping(args []resp.Value) error {
+	if len(args) > 0 {
+		p.reply(resp.AppendBulk(nil, args[0].Word()))
+	} else {
+		p.reply([]byte("+PONG\r\n"))
+	}
+	return nil
+}
+
+// client takes what libraries say of themselves; the rest of CLIENT is not here.
+func (p *peer) client(args []resp.Value) error {
+	if len(args) > 0 && (strings.EqualFold(args[0].Word(), "SETINFO") || strings.EqualFold(args[0].Word(), "SETNAME")) {
+		p.ok()
+		return nil
+	}
+	p.reply(resp.AppendLine(nil, resp.Failure, "ERR of CLIENT there are SETINFO and SETNAME"))
+	return nil
+}
+
+func (p *peer) quit([]resp.Value) error {
+	p.ok()
+	return p.conn.Close()
+}
+
+func (p *peer) subscribe(args []resp.Value) error {
+	s := p.server
+	if !p.greeted {
+		return fmt.Errorf("say HELLO 3 first")
+	}
+	for _, a := range args {
+		if a.Word() != topic {
+			p.reply(resp.AppendLine(nil, resp.Failure, fmt.Sprintf("ERR no topic '%.40s'; there is %s", a.Word(), topic)))
+			return nil
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !p.observer && s.observers >= s.line.Limits.Observers {
+		return fmt.Errorf("%d observers are here, no more are taken", s.observers)
+	}
+	_ = p.conn.SetReadDeadline(time.Time{})
+	s.write(p, subscribed("subscribe", 1))
+	if !p.observer {
+		p.observer = true
+		s.observers++
+		s.observerSnapshot(p)
+	}
+	return nil
+}
+
+func (p *peer) unsubscribe([]resp.Value) error {
+	s := p.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p.observer {
+		p.observer = false
+		s.observers--
+		delete(s.folded, p)
+	}
+	s.write(p, subscribed("unsubscribe", 0))
+	return nil
+}
+
+func subscribed(how string, n int64) []byte {
+	b := resp.AppendHead(nil, resp.Push, 3)
+	return resp.AppendInt(resp.AppendBulk(resp.AppendBulk(b, how), topic), n)
+}
+
+// joinWord takes a forwarder in. One of the same name that is still here is replaced: its link is the older one.
+func (p *peer) joinWord(args []resp.Value) error {
+	if !p.greeted {
+		return fmt.Errorf("say HELLO 3 first")
+	}
+	j, err := tablewire.ParseJoin(args)
+	if err != nil {
+		return err
+	}
+	s := p.server
+	zone := slices.Index(s.line.Zones, j.Zone)
+	if zone < 0 {
+		return fmt.Errorf("JOIN: no zone %.60q here; there are %s", j.Zone, strings.Join(s.line.Zones, ", "))
+	}
+	s.mu.Lock()
+	if p.stream != 0 {
+		s.mu.Unlock()
+		return fmt.Errorf("JOIN: this connection has joined as %q", p.join.Name)
+	}
+	number, known := s.numbers[j.Name]
+	if !known {
+		if len(s.numbers) > 65534 {
+			s.mu.Unlock()
+			return fmt.Errorf("JOIN: 65535 names have joined in this life, no more are taken")
+		}
+		number = fleet.ProxyID(len(s.numbers))
+		s.numbers[j.Name] = number
+	}
+	if old := s.streams[number]; old != nil {
+		s.end(old)
+		s.stats.Replaced++
+		s.refuse(old, "ERR replaced by a newer connection of the same name")
+	}
+	s.lastID++
+	p.join, p.zone, p.proxy, p.stream = j, zone, number, s.lastID
+	s.streams[number] = p
+	_ = p.conn.SetReadDeadline(time.Time{})
+	b := resp.AppendHead(nil, resp.Map, 3)
+	b = resp.AppendInt(resp.AppendBulk(b, "life"), int64(s.board.life))
+	b = resp.AppendInt(resp.AppendBulk(b, "version"), int64(s.board.version))
+	b = resp.AppendInt(resp.AppendBulk(b, "period"), int64(s.line.Period))
+	s.write(p, b)
+	s.mu.Unlock()
+	s.events.Joined(number, p.stream, j, zone)
+	return nil
+}
+
+func (p *peer) joined() error {
+	if p.stream == 0 {
+		return fmt.Errorf("say JOIN first")
+	}
+	return nil
+}
+
+// ack takes a receipt. One of an earlier life says nothing about the messages of this one.
+func (p *peer) ack(args []resp.Value) error {
+	a, err := tablewire.ParseAck(args)
+	if err == nil {
+		err = p.joined()
+	}
+	if err == nil && a.Life == p.server.line.Life && a.Receipt >= 0 && a.Receipt < 65536 {
+		p.server.events.Applied(p.proxy, p.stream, uint32(a.Receipt))
+	}
+	return err
+}
+
+func (p *peer) sumsWord(args []resp.Value) error {
+	sums, err := tablewire.ParseSums(args)
+	if err == nil {
+		err = p.joined()
+	}
+	if err != nil {
+		return err
+	}
+	if sums.Number <= p.sums { // it came before
+		return nil
+	}
+	p.sums = sums.Number
+	for i := range sums.Of {
+		sums.Of[i].Zone, sums.Of[i].Span = p.zone, sums.Span
+	}
+	p.server.events.Heard(p.zone, sums.Of)
+	return nil
+}
+
+// resync sends a snapshot anew, once a second at most: a forwarder in a loop costs no more than that.
+func (p *peer) resync([]resp.Value) error {
+	if err := p.joined(); err != nil {
+		return err
+	}
+	s := p.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now := s.line.Now(); p.holder != nil && now-p.resyncAt >= fleet.Second {
+		p.resyncAt = now
+		s.stats.Resyncs++
+		s.sendSnapshot(p)
+	}
+	return nil
+}
--- /dev/null
+++ b/channel/server.go
@@ -0,0 +1,489 @@
+package channel
+
+import (
+	"encoding/json"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/rs/zerolog"
+
+	"peppervale/fleet"
+	"peppervale/resp"
+	"peppervale/sockets"
+	"peppervale/tablewire"
+)
+
+// Events is told what comes over the channel, from network goroutines: it must not block. A stream is one
+// connection of one forwarder, numbered anew each time; a stream's events come in order.
+type Events interface {
+	Joined(p fleet.ProxyID, stream uint64, j tablewire.Join, zone int)
+	Left(p fleet.ProxyID, stream uint64)
+	Applied(p fleet.ProxyID, stream uint64, receipt uint32)
+	Heard(zone int, sums []fleet.Sum)
+}
+
+// Limits bounds what peers may cost. Zero fields take the values of Ordinary.
+type Limits struct {
+	Connections int           // open at once; more are closed with an error
+	Observers   int           // of them
+	Unsent      int           // bytes that wait for one peer before its changes fold into a snapshot
+	Greeting    time.Duration // within which a peer joins or subscribes
+}
+
+// Ordinary bounds suit some thousand forwarders: 64 KiB is a table of 2,000 lines.
+var Ordinary = Limits{Connections: 8192, Observers: 256, Unsent: 64 << 10, Greeting: 5 * time.Second}
+
+// Line tells a server about itself.
+type Line struct {
+	Listen   string // host:port
+	Life     uint64
+	Zones    []string
+	Period   fleet.Micros // in which forwarders gather their sums
+	Overhead int          // lines that a message costs beyond its own
+	Pace     float64      // lines a second
+	Limits   Limits
+	Now      func() fleet.Micros
+	Log      zerolog.Logger
+}
+
+// Stats are figures since the start, and of now.
+type Stats struct {
+	Forwarders, Observers, Connections int
+	Version                            uint64
+	Queue, QueueMost                   int // lines
+	Messages, Lines, Bytes             uint64
+	Folds, Resyncs, Faults, Replaced   uint64
+}
+
+// Server is a governor's channel. Make it with Listen.
+type Server struct {
+	line   Line
+	events Events
+	engine *nbio.Engine
+	wake   chan struct{}
+	done   chan struct{}
+	wait   sync.WaitGroup
+
+	mu        sync.Mutex
+	board     *board
+	pacer     pacer
+	peers     map[*nbio.Conn]*peer
+	streams   map[fleet.ProxyID]*peer // joined, or waiting for Admit
+	numbers   map[string]fleet.ProxyID
+	observers int
+	folded    map[*peer]bool
+	lastID    uint64
+	stats     Stats
+	closing   bool
+}
+
+// Listen opens the socket and serves until Close. Errors are those of the address.
+func Listen(line Line, events Events) (*Server, error) {
+	l := &line.Limits
+	if l.Connections <= 0 {
+		l.Connections = Ordinary.Connections
+	}
+	if l.Observers <= 0 {
+		l.Observers = Ordinary.Observers
+	}
+	if l.Unsent <= 0 {
+		l.Unsent = Ordinary.Unsent
+	}
+	if l.Greeting <= 0 {
+		l.Greeting = Ordinary.Greeting
+	}
+	s := &Server{line: line, events: events, wake: make(chan struct{}, 1), done: make(chan struct{}),
+		board: newBoard(line.Life, line.Overhead), pacer: pacer{perSecond: line.Pace},
+		peers: map[*nbio.Conn]*peer{}, streams: map[fleet.ProxyID]*peer{}, numbers: map[string]fleet.ProxyID{},
+		folded: map[*peer]bool{}}
+	var err error
+	s.engine, err = sockets.Start(2, sockets.Handlers{Open: s.opened, Data: s.came, Close: s.closed, Wrote: func(c *nbio.Conn, n int) {
+		if p, ok := c.Session().(*peer); ok && n > 0 {
+			p.unsent.Add(-int64(n))
+		}
+	}}, line.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("channel: %w", err)
+	}
+	s.wait.Add(1)
+	go s.run()
+	return s, nil
+}
+
+// Addr is the address that it listens on.
+func (s *Server) Addr() string { return s.engine.Addrs[0] }
+
+// Close ends every connection and the socket.
+func (s *Server) Close() {
+	s.mu.Lock()
+	if s.closing {
+		s.mu.Unlock()
+		return
+	}
+	s.closing = true
+	s.mu.Unlock()
+	close(s.done)
+	s.wait.Wait()
+	s.engine.Stop()
+}
+
+// Farewell tells forwarders to go elsewhere, in parts over the span, and waits for it to pass or for all to have
+// gone. It leaves the sockets open.
+func (s *Server) Farewell(span time.Duration) {
+	const parts = 10
+	for k := range parts {
+		s.mu.Lock()
+		for _, h := range s.board.holders {
+			if p := s.streams[h.proxy]; p != nil && int(p.stream%parts) == k {
+				b := resp.AppendHead(nil, resp.Push, 1)
+				s.write(p, resp.AppendBulk(b, "elsewhere"))
+			}
+		}
+		left := len(s.board.holders)
+		s.mu.Unlock()
+		if left == 0 {
+			return
+		}
+		select {
+		case <-time.After(span / parts):
+		case <-s.done:
+			return
+		}
+	}
+}
+
+// Admit starts a joined forwarder's stream: it is sent its snapshot, and concerned by what is published from
+// now on. It is to be called once for each Joined, before the next Publish.
+func (s *Server) Admit(proxy fleet.ProxyID, stream uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p := s.streams[proxy]
+	if p == nil || p.stream != stream {
+		return
+	}
+	p.holder = s.board.join(proxy, p.join.Name)
+	s.sendSnapshot(p)
+}
+
+// Publish carries orders out: one message for each forwarder concerned, queued at the channel's pace.
+func (s *Server) Publish(batch *Batch) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	made := s.board.apply(batch)
+	for _, out := range made {
+		if p := s.streams[out.to.proxy]; p != nil && p.holder == out.to {
+			s.pacer.put(batch.At, out, p.stream)
+		}
+	}
+	if !batch.Empty() && s.observers > 0 {
+		s.tellObservers(batch)
+	}
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Stats gives the figures of now.
+func (s *Server) Stats() Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.stats
+	st.Forwarders, st.Observers, st.Connections = len(s.board.holders), s.observers, len(s.peers)
+	st.Version, st.Queue, st.QueueMost = s.board.version, s.pacer.lines, s.pacer.most
+	return st
+}
+
+// run lets messages leave when they are due, and slow readers have their snapshot once they read again.
+func (s *Server) run() {
+	defer s.wait.Done()
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		now := s.line.Now()
+		for w := s.pacer.take(now); w != nil; w = s.pacer.take(now) {
+			if p := s.streams[w.out.to.proxy]; p != nil && p.stream == w.stream {
+				s.send(p, w.out.m)
+			}
+		}
+		for p := range s.folded {
+			if p.unsent.Load() < int64(s.line.Limits.Unsent)/2 {
+				delete(s.folded, p)
+				if p.observer {
+					s.observerSnapshot(p)
+				} else {
+					s.sendSnapshot(p)
+				}
+			}
+		}
+		pause := time.Hour
+		if at, ok := s.pacer.next(); ok {
+			pause = time.Duration(at-now) * time.Microsecond
+		}
+		if len(s.folded) > 0 {
+			pause = min(pause, 10*time.Millisecond)
+		}
+		s.mu.Unlock()
+		timer.Reset(max(pause, 50*time.Microsecond))
+		select {
+		case <-timer.C:
+		case <-s.wake:
+		case <-s.done:
+			return
+		}
+	}
+}
+
+// send writes a message, or folds it into a later snapshot if the peer does not read.
+func (s *Server) send(p *peer, m *tablewire.Message) {
+	if s.folded[p] {
+		return
+	}
+	if p.unsent.Load() > int64(s.line.Limits.Unsent) {
+		s.folded[p] = true
+		s.stats.Folds++
+		s.line.Log.Warn().Str("forwarder", p.join.Name).Msg("reads slowly: its changes fold into a snapshot")
+		return
+	}
+	s.stats.Messages++
+	s.stats.Lines += uint64(m.Cost)
+	s.write(p, tablewire.Append(nil, m))
+}
+
+func (s *Server) sendSnapshot(p *peer) {
+	m := s.board.snapshot(p.holder)
+	m.Ordered = s.line.Now()
+	s.send(p, m)
+}
+
+func (s *Server) write(p *peer, b []byte) {
+	p.unsent.Add(int64(len(b)))
+	s.stats.Bytes += uint64(len(b))
+	_, _ = p.conn.Write(b) // a broken one is told by OnClose
+}
+
+// Picture is the whole published state, as observers get it.
+type Picture struct {
+	Kind       string               `json:"kind"` // snapshot
+	Life       uint64               `json:"life"`
+	Version    uint64               `json:"version"`
+	Tables     map[string][]LineOut `json:"tables"`
+	Withdrawn  []string             `json:"withdrawn"`
+	Levels     []LevelOut           `json:"levels"`
+	Forwarders map[string]string    `json:"forwarders"` // name to table; empty: on its own
+}
+
+// LineOut is a table's line in JSON.
+type LineOut struct {
+	Replica string  `json:"replica"`
+	Weight  float64 `json:"weight"`
+}
+
+// LevelOut is a level in JSON; Operations is a bit for each.
+type LevelOut struct {
+	Operations uint16  `json:"operations"`
+	Share      float64 `json:"share"`
+	Way        uint8   `json:"way"`
+}
+
+// Picture is what stands published.
+func (s *Server) Picture() Picture {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.picture()
+}
+
+func (s *Server) picture() Picture {
+	b := s.board
+	pic := Picture{Kind: "snapshot", Life: b.life, Version: b.version, Tables: map[string][]LineOut{},
+		Forwarders: map[string]string{}, Withdrawn: []string{}, Levels: []LevelOut{}}
+	for id, t := range b.tables {
+		lines := make([]LineOut, 0, len(t.lines))
+		for _, l := range t.lines {
+			lines = append(lines, LineOut{tablewire.Address(l.Replica), l.Weight})
+		}
+		pic.Tables[fmt.Sprint(id)] = lines
+	}
+	for _, r := range b.outs {
+		pic.Withdrawn = append(pic.Withdrawn, tablewire.Address(r))
+	}
+	for _, l := range b.levels {
+		pic.Levels = append(pic.Levels, LevelOut{l.Operations, l.Share, uint8(l.Way)})
+	}
+	for _, h := range b.holders {
+		at := ""
+		if h.table != nil {
+			at = fmt.Sprint(h.table.id)
+		}
+		pic.Forwarders[h.name] = at
+	}
+	return pic
+}
+
+// Step is one version's orders, as observers get it.
+type Step struct {
+	Kind    string    `json:"kind"` // change
+	Life    uint64    `json:"life"`
+	Version uint64    `json:"version"`
+	Orders  []StepOne `json:"orders"`
+}
+
+// StepOne is one order in JSON; Do is assign, bind, withdraw, restore or level.
+type StepOne struct {
+	Do        string    `json:"do"`
+	Table     string    `json:"table,omitempty"`
+	Replica   string    `json:"replica,omitempty"`
+	Weight    float64   `json:"weight,omitempty"`
+	Forwarder string    `json:"forwarder,omitempty"`
+	Level     *LevelOut `json:"level,omitempty"`
+}
+
+func (s *Server) step(batch *Batch) Step {
+	st := Step{Kind: "change", Life: s.board.life, Version: s.board.version, Orders: []StepOne{}}
+	for _, o := range batch.Orders {
+		var one StepOne
+		switch o.What {
+		case Assign:
+			one = StepOne{Do: "assign", Table: fmt.Sprint(o.Table), Replica: tablewire.Address(o.Replica), Weight: o.Weight}
+		case Bind:
+			one = StepOne{Do: "bind", Table: fmt.Sprint(o.Table)}
+			if h := s.board.byProxy[o.Proxy]; h != nil {
+				one.Forwarder = h.name
+			}
+		case Withdraw:
+			if one = (StepOne{Do: "restore", Replica: tablewire.Address(o.Replica)}); o.Out {
+				one.Do = "withdraw"
+			}
+		case SetLevel:
+			one = StepOne{Do: "level", Level: &LevelOut{o.Level.Operations, o.Level.Share, uint8(o.Level.Way)}}
+		}
+		st.Orders = append(st.Orders, one)
+	}
+	return st
+}
+
+func (s *Server) tellObservers(batch *Batch) {
+	text, err := json.Marshal(s.step(batch))
+	if err != nil {
+		return // weights are finite: the module's tests hold that
+	}
+	b := observed(string(text))
+	for _, p := range s.peers {
+		if !p.observer || s.folded[p] {
+			continue
+		}
+		if p.unsent.Load() > int64(s.line.Limits.Unsent) {
+			s.folded[p] = true
+			s.stats.Folds++
+			continue
+		}
+		s.write(p, b)
+	}
+}
+
+func (s *Server) observerSnapshot(p *peer) {
+	if text, err := json.Marshal(s.picture()); err == nil {
+		s.write(p, observed(string(text)))
+	}
+}
+
+// observed is a published message as Redis pushes it.
+func observed(text string) []byte {
+	b := resp.AppendHead(nil, resp.Push, 3)
+	return resp.AppendBulk(resp.AppendBulk(resp.AppendBulk(b, "message"), topic), text)
+}
+
+// topic is what observers subscribe to.
+const topic = "tables"
+
+func (s *Server) opened(c *nbio.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lastID++
+	p := &peer{server: s, conn: c, id: s.lastID, reader: resp.NewReader(resp.Limits{})}
+	c.SetSession(p)
+	s.peers[c] = p
+	if len(s.peers) > s.line.Limits.Connections {
+		s.refuse(p, "ERR too many connections; come back later")
+		return
+	}
+	_ = c.SetReadDeadline(time.Now().Add(s.line.Limits.Greeting))
+}
+
+func (s *Server) came(c *nbio.Conn, data []byte) {
+	p, ok := c.Session().(*peer)
+	if !ok || p.ended.Load() {
+		return
+	}
+	if err := p.reader.Feed(data, p.take); err != nil {
+		s.mu.Lock()
+		s.stats.Faults++
+		s.refuse(p, "ERR "+err.Error())
+		s.mu.Unlock()
+	}
+}
+
+// refuse tells a peer why and ends it.
+func (s *Server) refuse(p *peer, why string) {
+	if p.ended.Swap(true) {
+		return
+	}
+	s.line.Log.Warn().Str("peer", p.conn.RemoteAddr().String()).Str("forwarder", p.join.Name).Str("why", why).Msg("connection ended")
+	s.write(p, resp.AppendLine(nil, resp.Failure, why))
+	_ = p.conn.Close()
+}
+
+func (s *Server) closed(c *nbio.Conn, _ error) {
+	s.mu.Lock()
+	p := s.peers[c]
+	if p == nil {
+		s.mu.Unlock()
+		return
+	}
+	delete(s.peers, c)
+	delete(s.folded, p)
+	p.ended.Store(true)
+	if p.observer {
+		s.observers--
+	}
+	joined := p.stream != 0 && s.streams[p.proxy] == p
+	if joined {
+		s.end(p)
+	}
+	s.mu.Unlock()
+	if joined {
+		s.events.Left(p.proxy, p.stream)
+	}
+}
+
+// end takes a stream off the board; what waits for it is dropped.
+func (s *Server) end(p *peer) {
+	delete(s.streams, p.proxy)
+	if p.holder != nil {
+		s.board.leave(p.proxy)
+	}
+	s.pacer.drop(p.stream)
+}
+
+// peer is one connection.
+type peer struct {
+	server   *Server
+	conn     *nbio.Conn
+	id       uint64
+	reader   *resp.Reader
+	unsent   atomic.Int64
+	ended    atomic.Bool
+	greeted  bool
+	observer bool
+	join     tablewire.Join
+	zone     int
+	proxy    fleet.ProxyID
+	stream   uint64  // 0: not joined
+	holder   *holder // nil until admitted
+	sums     uint64  // number of the newest report
+	resyncAt fleet.Micros
+}
--- /dev/null
+++ b/command/command.go
@@ -0,0 +1,180 @@
+// Package command is what the command line offers: a type for each command, with a Run that calls one room.
+package command
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"runtime/debug"
+	"strings"
+
+	"github.com/rs/zerolog"
+
+	"peppervale/day"
+	"peppervale/governor"
+	"peppervale/site"
+)
+
+// ErrInput is input that cannot be used: exit status 2. ErrBroken is a rule that broke: exit status 1.
+var (
+	ErrInput  = errors.New("input")
+	ErrBroken = errors.New("a rule broke")
+)
+
+// Line is the whole command line.
+type Line struct {
+	Governor Governor `cmd:"" help:"Run a governor until a signal ends it."`
+	Check    Check    `cmd:"" help:"Read a governor's or a day's file, tell each fault with its place, start nothing."`
+	Day      Day      `cmd:"" help:"Play scripted days on loopback sockets."`
+	Version  Version  `cmd:"" help:"Tell the version."`
+}
+
+// Governor is peppervale governor.
+type Governor struct {
+	Config string `help:"The governor's file, HCL." required:"" type:"existingfile"`
+	Pretty bool   `help:"Log for a terminal instead of JSON lines."`
+}
+
+// Run is the command.
+func (c *Governor) Run(ctx context.Context, out io.Writer) error {
+	g, err := site.OpenGovernor(c.Config)
+	if err != nil {
+		return fmt.Errorf("%w:\n%w", ErrInput, err)
+	}
+	if err := governor.Check(g.Terms); err != nil {
+		return fmt.Errorf("%w: %w", ErrInput, err)
+	}
+	if c.Pretty {
+		out = zerolog.ConsoleWriter{Out: out}
+	}
+	level, err := zerolog.ParseLevel(g.LogLevel)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrInput, err)
+	}
+	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
+	return governor.Serve(ctx, g, zerolog.New(out).Level(level).With().Timestamp().Logger())
+}
+
+// Check is peppervale check.
+type Check struct {
+	File string `arg:"" help:"A governor's file or a day's." type:"existingfile"`
+}
+
+// Run is the command.
+func (c *Check) Run(out io.Writer) error {
+	text, err := os.ReadFile(c.File)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrInput, err)
+	}
+	kind := "a governor's file"
+	if isDay(text) {
+		kind = "a day"
+		_, err = day.Open(c.File)
+	} else {
+		_, err = site.OpenGovernor(c.File)
+	}
+	if err != nil {
+		return fmt.Errorf("%w:\n%w", ErrInput, err)
+	}
+	fmt.Fprintf(out, "%s: %s, no fault found\n", c.File, kind)
+	return nil
+}
+
+func isDay(text []byte) bool {
+	for line := range strings.Lines(string(text)) {
+		if strings.HasPrefix(line, "day ") {
+			return true
+		}
+	}
+	return false
+}
+
+// Day is peppervale day.
+type Day struct {
+	Run  DayRun  `cmd:"" help:"Play a day and judge the rules; exit status 1 if one broke."`
+	List DayList `cmd:"" help:"List the scripts of a folder."`
+}
+
+// DayRun is peppervale day run.
+type DayRun struct {
+	File   string `arg:"" help:"The day's script." type:"existingfile"`
+	JSON   bool   `name:"json" help:"Write the report as JSON."`
+	Folder string `help:"Keep the governors' files and logs in this folder." type:"path"`
+	Quiet  bool   `help:"Tell nothing on the way."`
+}
+
+// Run is the command.
+func (c *DayRun) Run(ctx context.Context, out io.Writer) error {
+	s, err := day.Open(c.File)
+	if err != nil {
+		return fmt.Errorf("%w:\n%w", ErrInput, err)
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	set := day.Setting{Program: []string{self, "governor"}, Folder: c.Folder}
+	if !c.Quiet {
+		set.Progress = os.Stderr
+	}
+	r, err := day.Run(ctx, s, set)
+	if err != nil {
+		return err
+	}
+	if c.JSON {
+		encoder := json.NewEncoder(out)
+		encoder.SetIndent("", "  ")
+		if err := encoder.Encode(r); err != nil {
+			return err
+		}
+	} else {
+		r.Print(out)
+	}
+	if r.Broken() {
+		return ErrBroken
+	}
+	return nil
+}
+
+// DayList is peppervale day list.
+type DayList struct {
+	Folder string `arg:"" optional:"" default:"days" help:"Where the scripts are." type:"path"`
+}
+
+// Run is the command.
+func (c *DayList) Run(out io.Writer) error {
+	files, err := filepath.Glob(filepath.Join(c.Folder, "*.hcl"))
+	if err != nil || len(files) == 0 {
+		return fmt.Errorf("%w: no day scripts (*.hcl) in %s", ErrInput, c.Folder)
+	}
+	for _, file := range files {
+		s, err := day.Open(file)
+		if err != nil {
+			fmt.Fprintf(out, "%-32s cannot be used: %v\n", filepath.Base(file), err)
+			continue
+		}
+		fmt.Fprintf(out, "%-32s %3.0f s  %s\n", filepath.Base(file), float64(s.Length)/1e6, s.About)
+	}
+	return nil
+}
+
+// Version is peppervale version.
+type Version struct{}
+
+// Run is the command.
+func (Version) Run(out io.Writer) error {
+	revision := "unknown"
+	if info, ok := debug.ReadBuildInfo(); ok {
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" {
+				revision = s.Value
+			}
+		}
+	}
+	_, err := fmt.Fprintf(out, "peppervale 0.1.0-dev, revision %s\n", revision)
+	return err
+}
--- /dev/null
+++ b/day/rogue.go
@@ -0,0 +1,146 @@
+package day
+
+import (
+	"fmt"
+
+	"github.com/rs/zerolog"
+
+	"peppervale/channel"
+	"peppervale/fleet"
+	"peppervale/roster"
+	"peppervale/stand"
+	"peppervale/tablewire"
+)
+
+// RogueKinds are the governors of the stand's own that break one rule each, so that the checker is seen to fail. Each
+// binds all forwarders to one table of all replicas, and then does one thing wrong.
+var RogueKinds = []string{
+	"empty-table",      // takes every line back
+	"repeats-anything", // orders further tries after any failure, for every operation
+	"hides-drains",     // never withdraws what drains
+	"full-to-cold",     // gives a started replica nearly all traffic at once
+	"floods",           // sends every line to everybody, again and again
+}
+
+// rogue speaks the channel and reads the list like a governor; it is not one.
+type rogue struct {
+	kind    string
+	name    string
+	loop    *stand.Loop
+	server  *channel.Server
+	list    *roster.Consul
+	line    channel.Line
+	streams map[fleet.ProxyID]bool
+	ready   map[fleet.ReplicaID]fleet.Listing
+	receipt int
+	began   fleet.Micros
+}
+
+const rogueTable = fleet.TableID(1)
+
+func newRogue(d *play) (*rogue, error) {
+	r := &rogue{kind: d.Rogue, name: "rogue", loop: d.loop, streams: map[fleet.ProxyID]bool{}, ready: map[fleet.ReplicaID]fleet.Listing{}, began: d.now()}
+	var err error
+	r.line = channel.Line{Listen: fmt.Sprintf("127.%d.254.1:7700", d.octet), Life: 1, Zones: d.Zones, Period: d.Terms.Period,
+		Overhead: d.Terms.Overhead, Pace: 1e6, Now: d.now, Log: zerolog.Nop()}
+	if r.server, err = channel.Listen(r.line, r); err != nil {
+		return nil, err
+	}
+	r.list, err = roster.NewConsul(roster.Query{Address: d.list.Addr(), Service: serviceName, Caller: "peppervale/" + r.name, Zones: d.Zones,
+		Wait: (5 * fleet.Second).Duration(), Slack: (2 * fleet.Second).Duration(), Log: zerolog.Nop()}, r)
+	if err != nil {
+		r.server.Close()
+		return nil, err
+	}
+	r.list.Follow()
+	r.loop.After(200*fleet.Millisecond, r.beat)
+	return r, nil
+}
+
+func (r *rogue) close() {
+	r.list.Close()
+	r.server.Close()
+}
+
+// Joined and the rest are what the channel and the list tell.
+func (r *rogue) Joined(p fleet.ProxyID, stream uint64, _ tablewire.Join, _ int) {
+	r.loop.Post(func() {
+		r.server.Admit(p, stream)
+		r.streams[p] = true
+		r.publish(channel.Order{What: channel.Bind, Proxy: p, Table: rogueTable})
+	})
+}
+
+func (r *rogue) Left(p fleet.ProxyID, _ uint64) { r.loop.Post(func() { delete(r.streams, p) }) }
+
+func (r *rogue) Applied(fleet.ProxyID, uint64, uint32) {}
+
+func (r *rogue) Heard(int, []fleet.Sum) {}
+
+// Listed takes the list; but for what it hides it withdraws as it should.
+func (r *rogue) Listed(scope fleet.Scope, entries []fleet.Listing) {
+	r.loop.Post(func() {
+		if scope == fleet.Failed {
+			r.list.Follow()
+			return
+		}
+		named := map[fleet.ReplicaID]bool{}
+		var orders []channel.Order
+		for _, e := range entries {
+			if named[e.ID] = e.Life == fleet.Ready; e.Life != fleet.Ready {
+				continue
+			}
+			if old, known := r.ready[e.ID]; !known || old.Since != e.Since {
+				weight := 1.0
+				if r.kind == "full-to-cold" && e.Since > r.began {
+					weight = 1000
+				}
+				orders = append(orders, channel.Order{What: channel.Assign, Table: rogueTable, Replica: e.ID, Weight: weight},
+					channel.Order{What: channel.Withdraw, Replica: e.ID})
+			}
+			r.ready[e.ID] = e
+		}
+		for id := range r.ready {
+			if !named[id] {
+				delete(r.ready, id)
+				if r.kind != "hides-drains" {
+					orders = append(orders, channel.Order{What: channel.Withdraw, Replica: id, Out: true})
+				}
+			}
+		}
+		r.publish(orders...)
+	})
+}
+
+func (r *rogue) publish(orders ...channel.Order) {
+	if len(orders) > 0 {
+		r.receipt = (r.receipt + 1) % 65536
+		r.server.Publish(&channel.Batch{Orders: orders, Receipt: r.receipt, At: r.line.Now()})
+	}
+}
+
+// beat does what it does wrong, once the day has begun to run.
+func (r *rogue) beat() {
+	r.loop.After(200*fleet.Millisecond, r.beat)
+	if r.line.Now()-r.began < 3*fleet.Second {
+		return
+	}
+	switch r.kind {
+	case "empty-table":
+		var orders []channel.Order
+		for id := range r.ready {
+			orders = append(orders, channel.Order{What: channel.Assign, Table: rogueTable, Replica: id})
+		}
+		r.publish(orders...)
+	case "repeats-anything":
+		r.publish(channel.Order{What: channel.SetLevel, Level: tablewire.Level{Operations: 0, Share: 1, Way: fleet.TwoMore}})
+	case "floods":
+		for range 20 {
+			var orders []channel.Order
+			for id := range r.ready {
+				orders = append(orders, channel.Order{What: channel.Assign, Table: rogueTable, Replica: id, Weight: 1})
+			}
+			r.publish(orders...)
+		}
+	}
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -2,6 +2,8 @@
 // values), the start settings that the governor reads (Terms), and the orders that a host carries out (Host).
 package fleet
 
+import "time"
+
 // Micros is a time or a span in whole microseconds.
 type Micros int64
 
@@ -111,3 +113,6 @@
 	Follow() // subscribe to the list
 	Log(text string)
 }
+
+// Duration is a span as the standard library has it.
+func (m Micros) Duration() time.Duration { return time.Duration(m) * time.Microsecond }
--- /dev/null
+++ b/governor/governor.go
@@ -0,0 +1,247 @@
+package governor
+
+import (
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"peppervale/channel"
+	"peppervale/decide"
+	"peppervale/fleet"
+	"peppervale/tablewire"
+)
+
+// Channel carries orders to forwarders; channel.Server is the real one.
+type Channel interface {
+	Admit(p fleet.ProxyID, stream uint64)
+	Publish(b *channel.Batch)
+}
+
+// Roster follows the machine list; each Follow subscribes anew and is answered by Listed.
+type Roster interface{ Follow() }
+
+// Host owns one governor. Make it with New, hand it to the channel and the roster as their receiver, then Run it.
+type Host struct {
+	*mailbox
+	terms   fleet.Terms
+	intake  int // sums a second
+	now     func() fleet.Micros
+	log     zerolog.Logger
+	module  *decide.Governor
+	channel Channel
+	roster  Roster
+	batch   *channel.Batch
+	wakeAt  fleet.Micros
+	stop    chan struct{}
+	stopped chan struct{}
+	view    atomic.Pointer[View]
+	budget  float64
+	filled  fleet.Micros
+	open    bool
+	list    map[fleet.ReplicaID]fleet.Listing
+	listed  fleet.Micros
+	known   map[fleet.ProxyID]bool
+	worst   fleet.Micros
+	steps   uint64
+}
+
+// View is what a governor believes after a step. It is never written again.
+type View struct {
+	At        fleet.Micros
+	GateOpen  bool
+	Joined    int
+	Ready     int // replicas listed as ready
+	Listed    int // replicas in the list
+	ListAt    fleet.Micros
+	Steps     uint64
+	WorstStep fleet.Micros // the longest that a step took
+	Waiting   int          // sums that wait for their turn
+	Folds     uint64       // sums that were folded because the module took no more
+}
+
+// Clock gives a monotonic clock in microseconds since 1970, by the wall's time at this call.
+func Clock() func() fleet.Micros {
+	start := time.Now()
+	base := fleet.Micros(start.UnixMicro())
+	return func() fleet.Micros { return base + fleet.Micros(time.Since(start)/time.Microsecond) }
+}
+
+// New makes a host; intake is the most sums a second that the module is handed.
+func New(terms fleet.Terms, intake int, now func() fleet.Micros, log zerolog.Logger) *Host {
+	return &Host{mailbox: newMailbox(), terms: terms, intake: intake, now: now, log: log,
+		stop: make(chan struct{}), stopped: make(chan struct{}), list: map[fleet.ReplicaID]fleet.Listing{},
+		known: map[fleet.ProxyID]bool{}}
+}
+
+// Run starts the module on what was last known of the list (nil: nothing) and goes on until Stop.
+func (h *Host) Run(ch Channel, roster Roster, cached []fleet.Listing) {
+	defer close(h.stopped)
+	h.channel, h.roster = ch, roster
+	h.filled = h.now()
+	h.batch = &channel.Batch{Receipt: -1}
+	h.module = decide.New(h.terms, h, h.now())
+	if len(cached) > 0 {
+		h.take(h.now(), taken{list: &news{fleet.Cached, cached}})
+	}
+	h.settle(h.now())
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	// Events of two milliseconds are taken together, as on the bench: a storm of joins is one step, not many.
+	const gather = 2 * time.Millisecond
+	for {
+		timer.Reset(max(0, time.Duration(h.wakeAt-h.now())*time.Microsecond))
+		select {
+		case <-h.stop:
+			return
+		case <-timer.C:
+		case <-h.signal:
+			select {
+			case <-h.stop:
+				return
+			case <-time.After(gather):
+			}
+		}
+		h.step()
+	}
+}
+
+// Stop ends Run and waits for it.
+func (h *Host) Stop() {
+	close(h.stop)
+	<-h.stopped
+}
+
+// View is the newest view; nil before the first step.
+func (h *Host) View() *View { return h.view.Load() }
+
+func (h *Host) step() {
+	now := h.now()
+	h.budget = min(h.budget+float64(now-h.filled)/float64(fleet.Second)*float64(h.intake), float64(h.intake))
+	h.filled = now
+	t := h.mailbox.take(int(h.budget))
+	h.budget -= float64(len(t.sums))
+	h.take(now, t)
+	if now >= h.wakeAt {
+		h.module.Rang(now)
+	}
+	h.settle(now)
+}
+
+func (h *Host) take(now fleet.Micros, t taken) {
+	if t.list != nil {
+		h.module.Listed(now, t.list.scope, t.list.entries)
+		h.keepList(now, t.list)
+	}
+	for i := range t.slots {
+		s := &t.slots[i]
+		if s.left && h.known[s.proxy] {
+			h.module.Left(now, s.proxy)
+			delete(h.known, s.proxy)
+		}
+		if s.joined {
+			h.channel.Admit(s.proxy, s.stream)
+			h.module.Joined(now, s.proxy, s.zone, s.join.Rate)
+			h.known[s.proxy] = true
+		}
+		if s.receipt >= 0 && h.known[s.proxy] {
+			h.module.Applied(now, s.proxy, uint32(s.receipt))
+		}
+	}
+	for _, s := range t.sums {
+		h.module.Heard(now, s)
+	}
+}
+
+func (h *Host) keepList(now fleet.Micros, n *news) {
+	if n.scope == fleet.Failed {
+		return
+	}
+	if n.scope != fleet.Change {
+		clear(h.list)
+	}
+	for _, e := range n.entries {
+		h.list[e.ID] = e
+	}
+	if n.scope == fleet.Whole {
+		h.listed = now
+	}
+}
+
+func (h *Host) settle(now fleet.Micros) {
+	h.module.Settle(now)
+	if !h.batch.Empty() || h.batch.Receipt >= 0 {
+		h.batch.At = now
+		h.channel.Publish(h.batch)
+	}
+	h.batch = &channel.Batch{Receipt: -1}
+	h.steps++
+	h.worst = max(h.worst, h.now()-now)
+	v := &View{At: now, GateOpen: h.open, Joined: len(h.known), Listed: len(h.list), ListAt: h.listed, Steps: h.steps, WorstStep: h.worst}
+	for _, e := range h.list {
+		if e.Life == fleet.Ready {
+			v.Ready++
+		}
+	}
+	h.mailbox.mu.Lock()
+	v.Waiting, v.Folds = len(h.mailbox.turn), h.mailbox.folds
+	h.mailbox.mu.Unlock()
+	h.view.Store(v)
+}
+
+// The orders of the module: they are gathered and leave after Settle.
+
+func (h *Host) order(o channel.Order) { h.batch.Orders = append(h.batch.Orders, o) }
+
+// Assign is an order of the module, see fleet.Host.
+func (h *Host) Assign(t fleet.TableID, r fleet.ReplicaID, weight float64) {
+	h.order(channel.Order{What: channel.Assign, Table: t, Replica: r, Weight: weight})
+}
+
+// Bind is an order of the module, see fleet.Host.
+func (h *Host) Bind(p fleet.ProxyID, t fleet.TableID) {
+	h.order(channel.Order{What: channel.Bind, Proxy: p, Table: t})
+}
+
+// Withdraw is an order of the module, see fleet.Host.
+func (h *Host) Withdraw(r fleet.ReplicaID, out bool) {
+	h.order(channel.Order{What: channel.Withdraw, Replica: r, Out: out})
+}
+
+// Level is an order of the module, see fleet.Host.
+func (h *Host) Level(operations uint16, share float64, w fleet.Way) {
+	h.order(channel.Order{What: channel.SetLevel, Level: tablewire.Level{Operations: operations, Share: share, Way: w}})
+}
+
+// Receipt is an order of the module, see fleet.Host.
+func (h *Host) Receipt(number uint32, all bool) { h.batch.Receipt, h.batch.All = int(number), all }
+
+// Wake is an order of the module, see fleet.Host.
+func (h *Host) Wake(after fleet.Micros) { h.wakeAt = h.now() + after }
+
+// Follow is an order of the module, see fleet.Host.
+func (h *Host) Follow() { h.roster.Follow() }
+
+// Log is an order of the module, see fleet.Host.
+func (h *Host) Log(text string) {
+	if text == "gate open" {
+		h.open = true
+	}
+	h.log.Info().Str("from", "decide").Msg(text)
+}
+
+var _ fleet.Host = (*Host)(nil)
+
+// Check tells start settings that the module cannot use.
+func Check(t fleet.Terms) error {
+	switch {
+	case len(t.Operations) == 0 || len(t.Operations) > 16:
+		return fmt.Errorf("%d operations; 1 to 16 are handled", len(t.Operations))
+	case t.Zones == 0:
+		return fmt.Errorf("no zones")
+	case t.Period <= 0 || t.QueueMost <= 0:
+		return fmt.Errorf("the period and the queue must be above 0")
+	}
+	return nil
+}
--- /dev/null
+++ b/governor/mailbox.go
@@ -0,0 +1,181 @@
+package governor
+
+import (
+	"sync"
+
+	"peppervale/fleet"
+	"peppervale/tablewire"
+)
+
+// mailbox keeps what came for the module. It is free of I/O; every method returns at once.
+type mailbox struct {
+	mu      sync.Mutex
+	signal  chan struct{}
+	zones   int
+	streams map[fleet.ProxyID]*slot
+	dirty   []*slot // in the order of their first news
+	list    *news   // the newest
+	sums    map[key]*folded
+	turn    []key // in the order of the oldest news
+	folds   uint64
+}
+
+// slot is what waits of one forwarder.
+type slot struct {
+	proxy   fleet.ProxyID
+	dirty   bool
+	stream  uint64 // the newest that came; 0: none is open
+	join    tablewire.Join
+	zone    int
+	joined  bool // a join waits
+	left    bool // the stream that the module knows of has ended
+	receipt int  // -1: none waits
+}
+
+type news struct {
+	scope   fleet.Scope
+	entries []fleet.Listing
+}
+
+type key struct {
+	zone    int
+	replica fleet.ReplicaID
+}
+
+type folded struct {
+	sum    fleet.Sum
+	time   float64 // of the good tries together, microseconds
+	ready  bool    // its period has passed once: it waits for its turn only
+	report []float64
+}
+
+func newMailbox() *mailbox {
+	return &mailbox{signal: make(chan struct{}, 1), streams: map[fleet.ProxyID]*slot{}, sums: map[key]*folded{}}
+}
+
+func (m *mailbox) ring() {
+	select {
+	case m.signal <- struct{}{}:
+	default:
+	}
+}
+
+// of gives a forwarder's slot and notes that there is news in it; m.mu is held.
+func (m *mailbox) of(p fleet.ProxyID) *slot {
+	s := m.streams[p]
+	if s == nil {
+		s = &slot{proxy: p, receipt: -1}
+		m.streams[p] = s
+	}
+	if !s.dirty {
+		s.dirty = true
+		m.dirty = append(m.dirty, s)
+	}
+	return s
+}
+
+// Joined notes a forwarder's new stream; a join that still waited is replaced by it.
+func (m *mailbox) Joined(p fleet.ProxyID, stream uint64, j tablewire.Join, zone int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.of(p)
+	s.stream, s.join, s.zone, s.joined, s.receipt = stream, j, zone, true, -1
+	m.ring()
+}
+
+// Left notes a stream's end; that of an older stream than the newest says nothing.
+func (m *mailbox) Left(p fleet.ProxyID, stream uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if s := m.streams[p]; s != nil && s.stream == stream {
+		s = m.of(p)
+		s.stream, s.joined, s.left, s.receipt = 0, false, true, -1
+		m.ring()
+	}
+}
+
+// Applied notes a receipt of the newest stream; it covers those before it.
+func (m *mailbox) Applied(p fleet.ProxyID, stream uint64, receipt uint32) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if s := m.streams[p]; s != nil && s.stream == stream && !s.joined {
+		m.of(p).receipt = int(receipt)
+		m.ring()
+	}
+}
+
+// Heard folds a forwarder's sums into those of its zone.
+func (m *mailbox) Heard(zone int, sums []fleet.Sum) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, n := range sums {
+		if n.Tries <= 0 {
+			continue
+		}
+		k := key{zone, n.Replica}
+		f := m.sums[k]
+		if f == nil {
+			f = &folded{sum: fleet.Sum{Zone: zone, Replica: n.Replica}}
+			m.sums[k] = f
+			m.turn = append(m.turn, k)
+		} else if f.ready {
+			m.folds++
+		}
+		f.sum.Tries += n.Tries
+		f.sum.Errored += n.Errored
+		f.sum.Span = max(f.sum.Span, n.Span)
+		f.time += float64(n.Tries-n.Errored) * float64(n.Latency)
+		if len(n.Report) > 0 {
+			f.report = n.Report
+		}
+	}
+}
+
+// Listed notes news of the machine list. A whole list replaces what waits; a failed call never hides one.
+func (m *mailbox) Listed(scope fleet.Scope, entries []fleet.Listing) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if scope == fleet.Failed && m.list != nil && m.list.scope != fleet.Failed {
+		m.list.scope = fleet.Whole // the module asks again at its next failure
+		return
+	}
+	m.list = &news{scope, entries}
+	m.ring()
+}
+
+// taken is what a step hands to the module.
+type taken struct {
+	list  *news
+	slots []slot
+	sums  []fleet.Sum
+}
+
+// take empties the mailbox but for sums beyond most.
+func (m *mailbox) take(most int) (t taken) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	t.list, m.list = m.list, nil
+	for _, s := range m.dirty {
+		t.slots = append(t.slots, *s)
+		s.dirty, s.joined, s.left, s.receipt = false, false, false, -1
+		if s.stream == 0 {
+			delete(m.streams, s.proxy)
+		}
+	}
+	m.dirty = nil
+	n := min(most, len(m.turn))
+	for _, k := range m.turn[:n] {
+		f := m.sums[k]
+		if good := f.sum.Tries - f.sum.Errored; good > 0 {
+			f.sum.Latency = fleet.Micros(f.time / float64(good))
+		}
+		f.sum.Report = f.report
+		t.sums = append(t.sums, f.sum)
+		delete(m.sums, k)
+	}
+	m.turn = append([]key(nil), m.turn[n:]...)
+	for _, k := range m.turn {
+		m.sums[k].ready = true
+	}
+	return t
+}
--- /dev/null
+++ b/listwire/listwire.go
@@ -0,0 +1,91 @@
+// Package listwire is the machine list on the wire: the JSON of Consul's health endpoint, as its HTTP interface is
+// published, read into plain listings. Nothing here does I/O.
+package listwire
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"peppervale/fleet"
+	"peppervale/tablewire"
+)
+
+// Entry is what is read and written of one entry of /v1/health/service/NAME.
+type Entry struct {
+	Node    Node
+	Service Service
+	Checks  []Check
+}
+
+// Node is the machine of an entry.
+type Node struct {
+	Node, Address string
+}
+
+// Service is the process of an entry.
+type Service struct {
+	ID, Service, Address string
+	Port                 int
+	Meta                 map[string]string
+}
+
+// Check is one health check of an entry.
+type Check struct {
+	Node, CheckID, Name, Status string
+}
+
+// entriesMost bounds a list; a deployment of 2,000 replicas fits five times.
+const entriesMost = 10_000
+
+// Parse reads the body of Consul's health endpoint. Meta keys: zone (a name), started (RFC 3339 or
+// milliseconds since 1970). A maintenance check is draining; any other critical check is a process that does
+// not run. skipped counts entries that cannot be read.
+func Parse(body []byte, zones []string) (entries []fleet.Listing, skipped int, err error) {
+	var all []Entry
+	if err := json.Unmarshal(body, &all); err != nil {
+		return nil, 0, fmt.Errorf("machine list: %w", err)
+	}
+	if len(all) > entriesMost {
+		return nil, 0, fmt.Errorf("machine list: %d entries, %d are taken", len(all), entriesMost)
+	}
+	seen := map[fleet.ReplicaID]bool{}
+	for _, e := range all {
+		address := e.Service.Address
+		if address == "" {
+			address = e.Node.Address
+		}
+		id, err := tablewire.ParseAddress(address + ":" + strconv.Itoa(e.Service.Port))
+		zone := slices.Index(zones, e.Service.Meta["zone"])
+		if err != nil || zone < 0 || seen[id] {
+			skipped++
+			continue
+		}
+		seen[id] = true
+		l := fleet.Listing{ID: id, Zone: zone, Life: fleet.Ready, Since: started(e.Service.Meta["started"])}
+		for _, c := range e.Checks {
+			switch {
+			case c.CheckID == "_node_maintenance" || strings.HasPrefix(c.CheckID, "_service_maintenance"):
+				l.Life = fleet.Draining
+			case c.Status == "critical" && l.Life == fleet.Ready:
+				l.Life = fleet.Gone
+			}
+		}
+		entries = append(entries, l)
+	}
+	return entries, skipped, nil
+}
+
+// started reads a start time in microseconds since 1970; 0, long ago, if it says none.
+func started(text string) fleet.Micros {
+	if ms, err := strconv.ParseInt(text, 10, 64); err == nil && ms > 0 {
+		return fleet.Micros(ms) * fleet.Millisecond
+	}
+	if at, err := time.Parse(time.RFC3339Nano, text); err == nil {
+		return fleet.Micros(at.UnixMicro())
+	}
+	return 0
+}
--- /dev/null
+++ b/roster/consul.go
@@ -0,0 +1,241 @@
+package roster
+
+import (
+	"fmt"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/rs/zerolog"
+
+	"peppervale/fleet"
+	"peppervale/httpwire"
+	"peppervale/listwire"
+	"peppervale/sockets"
+)
+
+// Query says which list is followed.
+type Query struct {
+	Address string        // host:port of the agent
+	Service string        // its name in the list
+	Caller  string        // names the governor to the list's log (User-Agent)
+	Zones   []string      // names that an entry's meta may give
+	Wait    time.Duration // how long a blocking query may wait for news
+	Slack   time.Duration // how long beyond that an answer may take before the call has failed
+	Log     zerolog.Logger
+}
+
+// answerMost bounds an answer: 10,000 entries of 2 KiB.
+const answerMost = 20 << 20
+
+// leastPause lies between two calls, so that a list that changes all the time costs 20 calls a second at most.
+const leastPause = 50 * time.Millisecond
+
+// Consul follows one service. Make it with NewConsul.
+type Consul struct {
+	query  Query
+	to     Receiver
+	engine *nbio.Engine
+	asked  chan struct{}
+	done   chan struct{}
+	wait   sync.WaitGroup
+}
+
+// NewConsul starts a client that does nothing until Follow.
+func NewConsul(q Query, to Receiver) (*Consul, error) {
+	c := &Consul{query: q, to: to, asked: make(chan struct{}, 1), done: make(chan struct{})}
+	var err error
+	c.engine, err = sockets.Start(1, sockets.Handlers{Data: func(conn *nbio.Conn, data []byte) {
+		if k, ok := conn.Session().(*call); ok {
+			k.came(data)
+		}
+	}, Close: func(conn *nbio.Conn, err error) {
+		if k, ok := conn.Session().(*call); ok {
+			k.end(nil, fmt.Errorf("connection ended: %w", err))
+		}
+	}})
+	if err != nil {
+		return nil, fmt.Errorf("machine list: %w", err)
+	}
+	c.wait.Add(1)
+	go c.run()
+	return c, nil
+}
+
+// Follow subscribes; while subscribed it changes nothing.
+func (c *Consul) Follow() {
+	select {
+	case c.asked <- struct{}{}:
+	default:
+	}
+}
+
+// Close ends the client; a call in work is dropped.
+func (c *Consul) Close() {
+	close(c.done)
+	c.wait.Wait()
+	c.engine.Stop()
+}
+
+func (c *Consul) run() {
+	defer c.wait.Done()
+	for {
+		select {
+		case <-c.asked:
+		case <-c.done:
+			return
+		}
+		if err := c.follow(); err != nil {
+			c.query.Log.Warn().Err(err).Msg("machine list: call failed")
+			c.to.Listed(fleet.Failed, nil)
+		}
+	}
+}
+
+// follow asks until a call fails (its error) or the client is closed (nil). An index that goes back, or is none,
+// starts anew with the whole list, as the interface's page asks.
+func (c *Consul) follow() error {
+	var index uint64
+	var conn *nbio.Conn
+	defer func() {
+		if conn != nil {
+			_ = conn.Close()
+		}
+	}()
+	for {
+		began := time.Now()
+		var m *httpwire.Message
+		var err error
+		if m, conn, err = c.ask(conn, index); err != nil || m == nil {
+			return err
+		}
+		if m.Status != 200 {
+			return fmt.Errorf("status %d: %.80q", m.Status, m.Body)
+		}
+		told, err := strconv.ParseUint(m.Header["x-consul-index"], 10, 64)
+		if err != nil {
+			return fmt.Errorf("no index in the answer: %.40q", m.Header["x-consul-index"])
+		}
+		entries, skipped, err := listwire.Parse(m.Body, c.query.Zones)
+		if err != nil {
+			return err
+		}
+		if skipped > 0 {
+			c.query.Log.Warn().Int("entries", skipped).Msg("machine list: entries left out, without IPv4 address, known zone, or twice")
+		}
+		if told != index || index == 0 {
+			c.to.Listed(fleet.Whole, entries)
+		}
+		switch {
+		case told < index:
+			index = 0 // it went back: what follows it is not known to be whole
+		case told == 0:
+			index = 1 // 0 would not block
+		default:
+			index = told
+		}
+		if m.Close {
+			_ = conn.Close()
+			conn = nil
+		}
+		select {
+		case <-time.After(leastPause - time.Since(began)):
+		case <-c.done:
+			return nil
+		}
+	}
+}
+
+// call is one request in work.
+type call struct {
+	parser *httpwire.Parser
+	once   sync.Once
+	got    chan reply
+	over   chan struct{} // the call is given up: a connection that comes now is not wanted
+}
+
+type reply struct {
+	m   *httpwire.Message
+	err error
+}
+
+func (k *call) end(m *httpwire.Message, err error) {
+	k.once.Do(func() { k.got <- reply{m, err} })
+}
+
+func (k *call) came(data []byte) {
+	err := k.parser.Feed(data, func(m *httpwire.Message) error {
+		k.end(m, nil)
+		return nil
+	})
+	if err != nil {
+		k.end(nil, err)
+	}
+}
+
+// ask sends one query, on the open connection if there is one. A nil message with a nil error: the client closed.
+func (c *Consul) ask(conn *nbio.Conn, index uint64) (*httpwire.Message, *nbio.Conn, error) {
+	q := url.Values{}
+	limit := c.query.Slack
+	if index > 0 {
+		q.Set("index", strconv.FormatUint(index, 10))
+		q.Set("wait", strconv.FormatInt(c.query.Wait.Milliseconds(), 10)+"ms")
+		limit += c.query.Wait + c.query.Wait/16 // the server adds up to a sixteenth by chance
+	}
+	target := "/v1/health/service/" + url.PathEscape(c.query.Service)
+	if len(q) > 0 {
+		target += "?" + q.Encode()
+	}
+	k := &call{parser: httpwire.NewParser(true, httpwire.Bounds{Body: answerMost}), got: make(chan reply, 1),
+		over: make(chan struct{})}
+	defer close(k.over)
+	request := httpwire.AppendRequest(nil, "GET", target, c.query.Address, nil, "Accept", "application/json",
+		"User-Agent", c.query.Caller)
+	dialled := make(chan *nbio.Conn, 1)
+	if conn != nil {
+		conn.SetSession(k)
+		if _, err := conn.Write(request); err != nil {
+			return nil, nil, err
+		}
+	} else {
+		sockets.Dial(c.engine, c.query.Address, c.query.Slack, k, func(n *nbio.Conn, err error) {
+			if err != nil {
+				k.end(nil, err)
+				return
+			}
+			dialled <- n
+			select {
+			case <-k.over:
+				_ = n.Close()
+				return
+			default:
+			}
+			if _, err := n.Write(request); err != nil {
+				k.end(nil, err)
+			}
+		})
+	}
+	after := time.NewTimer(limit)
+	defer after.Stop()
+	var r reply
+	select {
+	case r = <-k.got:
+	case <-after.C:
+		r = reply{err: fmt.Errorf("no answer within %s", limit)}
+	case <-c.done:
+		r = reply{}
+	}
+	if conn == nil {
+		select {
+		case conn = <-dialled:
+		default:
+		}
+	}
+	if r.m == nil && conn != nil {
+		_ = conn.Close()
+		conn = nil
+	}
+	return r.m, conn, r.err
+}
--- /dev/null
+++ b/site/governor.go
@@ -0,0 +1,238 @@
+package site
+
+import (
+	"math"
+	"net/netip"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"github.com/zclconf/go-cty/cty"
+
+	"peppervale/fleet"
+)
+
+// Effect says what a repeat of an operation does; the names are the file's.
+type Effect string
+
+// The three effects of operations.
+const (
+	Idempotent    Effect = "idempotent"     // may run again
+	Fingerprinted Effect = "fingerprinted"  // a repeat is dropped by its bay within the window
+	SideEffecting Effect = "side-effecting" // must never run twice
+)
+
+// Operation is one kind of invocation as a file gives it.
+type Operation struct {
+	Name      string
+	Objective fleet.Micros // latency objective
+	Timeout   fleet.Micros // integration timeout
+	Value     float64      // billed value
+	Effect    Effect
+	Window    fleet.Micros // fingerprinted: how long a bay remembers
+}
+
+// Guarantees are what a governor is told of the fleet for the rules; the checker judges by the same figures.
+type Guarantees struct {
+	Bare       fleet.Micros // longest time without a line to pick
+	Grace      fleet.Micros // for drains and cold replicas
+	Cold       fleet.Micros // within which a started replica is warm
+	ColdShare  float64      // of its capacity that it starts with at least
+	TipFactor  float64      // times its present capacity...
+	TipSpan    fleet.Micros // ...for so long, and it falls over
+	MustAskIn  fleet.Micros // without a subscription, news that old counts as told
+	QueueMost  int          // lines
+	WriteMost  int          // messages to one forwarder within WriteSpan; 0: no limit
+	WriteSpan  fleet.Micros
+	FirstWait  float64 // a try that may be followed waits that share of the objective
+	DefaultWay fleet.Way
+}
+
+// Governor is a governor's whole file.
+type Governor struct {
+	Name, Listen, State string
+	Zones               []string
+	Operations          []Operation
+	Terms               fleet.Terms
+	Guarantees          Guarantees
+	Intake              int
+	Pace                float64
+	List                MachineList
+	Peers               PeerBounds
+	FarewellSpan        time.Duration
+	LogLevel            string
+}
+
+// PeerBounds is what peers of the channel may cost; zeros leave it to the channel.
+type PeerBounds struct {
+	Connections, Observers, Unsent int
+	Greeting                       time.Duration
+}
+
+// MachineList says where the list is.
+type MachineList struct {
+	Kind, Address, Service string
+	Wait, Slack            time.Duration
+}
+
+// Bounds of the file's figures; generous, they catch a slip of units or digits.
+const (
+	longest = 3600 * fleet.Second
+	many    = 1_000_000
+)
+
+// OpenGovernor reads a governor's file; the error is Faults.
+func OpenGovernor(path string) (*Governor, error) {
+	r, top := Open(path)
+	if top == nil {
+		return nil, r.Err()
+	}
+	g := readGovernor(top, filepath.Dir(path))
+	return g, r.Err()
+}
+
+func readGovernor(top *Block, dir string) *Governor {
+	g := &Governor{}
+	b := top.One("governor", 1, true)
+	g.Name = b.Labels[0]
+	g.Listen = b.Address("listen", true)
+	g.State = b.Text("state", "")
+	if g.State != "" && !filepath.IsAbs(g.State) {
+		g.State = filepath.Join(dir, g.State)
+	}
+	g.Terms.Seed = uint64(b.Whole("seed", 1, 0, math.MaxInt32))
+	g.LogLevel = b.Text("log", "info", "debug", "info", "warn", "error")
+	g.FarewellSpan = b.Span("farewell", 2*fleet.Second, 0, longest).Duration()
+	b.Done()
+	g.Zones = top.Texts("zones", true)
+	g.Operations = Operations(top)
+	g.Terms, g.Guarantees = ReadTerms(top, g.Terms.Seed, g.Zones, g.Operations)
+
+	c := top.One("channel", 0, true)
+	g.Pace, g.Intake = ReadChannel(c, &g.Terms, &g.Guarantees)
+	g.Peers = c.Peers()
+	c.Done()
+
+	l := top.One("machine_list", 1, true)
+	if g.List.Kind = l.Labels[0]; g.List.Kind != "consul" && g.List.Kind != "" {
+		l.Fault("", "machine_list: %q is none of consul", g.List.Kind)
+	}
+	g.List.Address = l.Address("address", false)
+	g.List.Service = l.Text("service", "")
+	g.List.Wait = l.Span("wait", 10*fleet.Second, 10*fleet.Millisecond, 600*fleet.Second).Duration()
+	g.List.Slack = l.Span("slack", 2*fleet.Second, 10*fleet.Millisecond, 600*fleet.Second).Duration()
+	l.Done()
+	top.Done()
+	return g
+}
+
+// Peers reads the bounds on peers from the block channel { }.
+func (b *Block) Peers() PeerBounds {
+	return PeerBounds{Connections: b.Whole("connections", 0, 0, many), Observers: b.Whole("observers", 0, 0, many),
+		Unsent: b.Whole("unsent_bytes", 0, 0, 1<<30), Greeting: b.Span("greeting", 0, 0, longest).Duration()}
+}
+
+// Governors reads the list governors, which may name a zone more than once.
+func (b *Block) Governors() (zones []string) {
+	v, at, ok := b.value("governors", true)
+	if !ok {
+		return nil
+	}
+	if !v.Type().IsTupleType() || v.LengthInt() == 0 {
+		b.r.fault(at, "governors: a list of zones is wanted, one for each governor")
+		return nil
+	}
+	for _, e := range v.AsValueSlice() {
+		if e.Type() != cty.String {
+			b.r.fault(at, "governors: a list of zones is wanted, one for each governor")
+			return nil
+		}
+		zones = append(zones, e.AsString())
+	}
+	return zones
+}
+
+// Address reads host:port on IPv4; port 0, any free one, only where that makes sense.
+func (b *Block) Address(name string, any bool) string {
+	text := b.Text(name, "")
+	if text == "" {
+		return text
+	}
+	a, err := netip.ParseAddrPort(text)
+	if err != nil || !a.Addr().Is4() {
+		b.Fault(name, "%s: %q is no IPv4 address with a port, as 127.0.0.1:7700", name, text)
+	} else if a.Port() == 0 && !any {
+		b.Fault(name, "%s: a port above 0 is wanted", name)
+	}
+	return text
+}
+
+// Operations reads the blocks operation "name" { }.
+func Operations(top *Block) (all []Operation) {
+	for _, b := range top.Blocks("operation", 1) {
+		o := Operation{Name: b.Labels[0]}
+		o.Objective = b.Span("objective", -1, fleet.Millisecond, longest)
+		o.Timeout = b.Span("timeout", -1, fleet.Millisecond, longest)
+		if o.Timeout < o.Objective {
+			b.Fault("timeout", "timeout: the integration timeout ends before the latency objective")
+		}
+		o.Value = b.Number("billed_value", 1, 0, 1e9)
+		o.Effect = Effect(b.Text("effect", "", string(Idempotent), string(Fingerprinted), string(SideEffecting)))
+		if o.Effect == Fingerprinted {
+			o.Window = b.Span("window", -1, fleet.Millisecond, longest)
+		}
+		b.Done()
+		all = append(all, o)
+	}
+	if len(all) == 0 || len(all) > 16 {
+		top.Fault("", "%d blocks operation \"name\" { }; 1 to 16 are wanted", len(all))
+	}
+	return all
+}
+
+// Ways are the names of the four retry ways.
+var Ways = []string{"never", "when-unrun", "any-failure", "two-more"}
+
+// ReadTerms reads what a governor is told of the fleet: the blocks fleet { } and rules { }.
+func ReadTerms(top *Block, seed uint64, zones []string, ops []Operation) (t fleet.Terms, g Guarantees) {
+	t = fleet.Terms{Seed: seed, Zones: len(zones), Subscribe: true, AdmitAll: 1, BusyField: -1}
+	for _, o := range ops {
+		t.Operations = append(t.Operations, fleet.Operation{Objective: o.Objective, Value: o.Value})
+	}
+	f := top.One("fleet", 0, true)
+	t.Proxies = f.Whole("forwarders", 0, 1, 65535)
+	t.StandingSize = f.Whole("standing", 6, 1, many)
+	t.ConnsLeast = f.Whole("connections_least", 100, 1, many)
+	t.Avoids = f.Yes("avoids", false)
+	t.Admits = f.Text("admits", "share", "share", "none") == "share"
+	t.CrossPrice = f.Number("crossing_price", 0, 0, 1)
+	t.PushPrice = f.Number("order_price", 0, 0, 1)
+	t.BusyField = slices.Index(f.Texts("load_report", false), "util")
+	g.DefaultWay = fleet.Way(max(0, slices.Index(Ways, f.Text("usual_way", Ways[1], Ways...))))
+	g.FirstWait = f.Number("first_wait", 0.8, 0.01, 10)
+	f.Done()
+	r := top.One("rules", 0, true)
+	g.Bare = r.Span("bare", 2600*fleet.Millisecond, 0, longest)
+	g.Grace = r.Span("drain_grace", 2500*fleet.Millisecond, 0, longest)
+	g.Cold = r.Span("cold", 17*fleet.Second, 0, longest)
+	g.ColdShare = r.Number("cold_share", 0.19, 0.01, 1)
+	g.TipFactor = r.Number("tip_factor", 4, 1, 1000)
+	g.TipSpan = r.Span("tip_span", 3*fleet.Second, fleet.Millisecond, longest)
+	g.MustAskIn = r.Span("must_ask_in", 10*fleet.Second, 0, longest)
+	r.Done()
+	t.Cold = g.Cold
+	return t, g
+}
+
+// ReadChannel reads the figures of the block channel { } that governors and checkers share.
+func ReadChannel(c *Block, t *fleet.Terms, g *Guarantees) (pace float64, intake int) {
+	pace = c.Number("pace", 3000, 1, 1e9)
+	t.QueueMost = c.Whole("queue", int(max(1, min(2*pace, many))), 1, many)
+	t.Overhead = c.Whole("overhead", 6, 0, 10_000)
+	t.Period = c.Span("period", fleet.Second, 10*fleet.Millisecond, longest)
+	t.MessagesMost = c.Whole("messages_most", 0, 0, many)
+	t.MessagesSpan = c.Span("messages_within", 10*fleet.Second, fleet.Millisecond, longest)
+	intake = c.Whole("intake", 500, 1, many)
+	g.QueueMost, g.WriteMost, g.WriteSpan = t.QueueMost, t.MessagesMost, t.MessagesSpan
+	return pace, intake
+}
--- /dev/null
+++ b/sockets/sockets.go
@@ -0,0 +1,64 @@
+// Package sockets makes the program's nbio engines alike: TCP on the given addresses, quiet, few pollers.
+package sockets
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/logging"
+)
+
+// Handlers take a connection's events on the engine's goroutines; nil ones are left out. Data is the engine's own and
+// lasts for the call.
+type Handlers struct {
+	Open  func(c *nbio.Conn)
+	Data  func(c *nbio.Conn, data []byte)
+	Close func(c *nbio.Conn, err error)
+	Wrote func(c *nbio.Conn, n int)
+}
+
+var quiet = sync.OnceFunc(func() { logging.SetLevel(logging.LevelNone) })
+
+// Start makes and starts an engine; with no address it only dials. Errors are those of the addresses.
+func Start(pollers int, h Handlers, addresses ...string) (*nbio.Engine, error) {
+	quiet()
+	e := nbio.NewEngine(nbio.Config{Network: "tcp", Addrs: addresses, NPoller: pollers})
+	if h.Open != nil {
+		e.OnOpen(h.Open)
+	}
+	if h.Data != nil {
+		e.OnData(h.Data)
+	}
+	if h.Close != nil {
+		e.OnClose(h.Close)
+	}
+	if h.Wrote != nil {
+		e.OnWrittenSize(func(c *nbio.Conn, _ []byte, n int) { h.Wrote(c, n) })
+	}
+	return e, e.Start()
+}
+
+// dialling bounds the dials in work of a process.
+var dialling = make(chan struct{}, 256)
+
+// Dial connects in the background and hands the connection, with its session set, to done. The engine's own dial of
+// nbio 1.6.8 is not used: it reads IPv4 addresses other than 127.0.0.1 wrongly, and tells a refusal as a connection.
+func Dial(e *nbio.Engine, address string, within time.Duration, session any, done func(*nbio.Conn, error)) {
+	go func() {
+		dialling <- struct{}{}
+		conn, err := net.DialTimeout("tcp", address, within)
+		<-dialling
+		if err != nil {
+			done(nil, err)
+			return
+		}
+		c, err := nbio.NBConn(conn) // closes conn: it has a descriptor of its own
+		if err == nil {
+			c.SetSession(session)
+			c, err = e.AddConn(c)
+		}
+		done(c, err)
+	}()
+}
--- /dev/null
+++ b/stand/forwarder/stream.go
@@ -0,0 +1,248 @@
+package forwarder
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/lesismal/nbio"
+
+	"peppervale/fleet"
+	"peppervale/resp"
+	"peppervale/rules"
+	"peppervale/sockets"
+	"peppervale/tablewire"
+)
+
+// stream is a connection to a governor.
+type stream struct {
+	f        *Forwarder
+	governor Governor
+	conn     *nbio.Conn
+	reader   *resp.Reader
+	life     int // of the forwarder
+	replies  int // that came
+	joined   bool
+	ended    bool
+	period   fleet.Micros
+	reports  uint64
+	asked    fleet.Micros // a snapshot, at
+	early    []byte       // read before the join was answered
+}
+
+// dialIn dials the next governor after a while.
+func (f *Forwarder) dialIn(span fleet.Micros) {
+	life := f.life
+	f.loop.After(span, func() {
+		if f.life != life || f.stream != nil && !f.stream.ended {
+			return
+		}
+		f.run(f.dial)
+	})
+}
+
+func (f *Forwarder) redial() {
+	f.dialIn(fleet.Micros(f.chance.Between(1, 3) * float64(max(f.Redial, fleet.Millisecond))))
+}
+
+func (f *Forwarder) dial() {
+	g := f.Governors[f.next%len(f.Governors)]
+	s := &stream{f: f, governor: g, life: f.life, reader: resp.NewReader(resp.Limits{})}
+	f.stream = s
+	if f.Cut[g.Name] {
+		s.end()
+		f.next++
+		f.redial()
+		return
+	}
+	failed := func() {
+		f.loop.Post(func() {
+			if f.life == s.life && !s.ended {
+				s.end()
+				f.next++
+				f.redial()
+			}
+		})
+	}
+	sockets.Dial(f.engine, g.Address, max(f.ConnectFor, 100*fleet.Millisecond).Duration(), s, func(c *nbio.Conn, err error) {
+		if err != nil {
+			failed()
+			return
+		}
+		f.loop.Post(func() {
+			if f.life != s.life || s.ended {
+				_ = c.Close()
+				return
+			}
+			s.conn = c
+			s.hello()
+		})
+	})
+}
+
+func (s *stream) hello() {
+	f := s.f
+	h := f.govLife[s.governor.Name]
+	b := resp.AppendCommand(nil, "HELLO", "3")
+	b = tablewire.AppendJoin(b, tablewire.Join{Name: f.Name, Zone: f.Zone, Rate: f.Rate, Fresh: len(f.govLife) == 0, Life: h.life, Version: h.version})
+	_, _ = s.conn.Write(b)
+}
+
+// end forgets the stream; what comes of it later does nothing.
+func (s *stream) end() {
+	if s.ended {
+		return
+	}
+	s.ended = true
+	if s.joined {
+		s.joined = false
+		s.f.seen(rules.Stream{At: s.f.loop.Now(), Forwarder: s.f.Name, Governor: s.governor.Name})
+	}
+	if s.conn != nil {
+		_ = s.conn.Close()
+	}
+}
+
+func (s *stream) came(data []byte) {
+	s.f.loop.Post(func() {
+		if s.ended || s.life != s.f.life {
+			return
+		}
+		// What is read is seen when the forwarder reads it; standing still is part of that.
+		s.f.run(func() { s.read(data) })
+	})
+}
+
+func (s *stream) closed() {
+	s.f.loop.Post(func() {
+		if s.life == s.f.life && !s.ended {
+			s.end()
+			s.f.redial()
+		}
+	})
+}
+
+func (s *stream) read(data []byte) {
+	if s.ended {
+		return
+	}
+	f := s.f
+	f.Bytes += len(data)
+	if !s.joined {
+		s.early = append(s.early, data...)
+	} else {
+		f.seen(rules.Received{At: f.loop.Now(), Forwarder: f.Name, Data: data})
+	}
+	err := s.reader.Feed(data, func(v resp.Value) error {
+		s.take(v)
+		return nil
+	})
+	if s.joined && s.early != nil {
+		// The answer to the join may bring the first messages with it: a checker reads the stream from its start.
+		f.seen(rules.Received{At: f.loop.Now(), Forwarder: f.Name, Data: s.early})
+		s.early = nil
+	}
+	if err != nil {
+		s.end()
+		s.f.redial()
+	}
+}
+
+func (s *stream) take(v resp.Value) {
+	f := s.f
+	switch {
+	case v.Kind == resp.Failure:
+		s.end()
+		f.next++
+		f.redial()
+	case v.Kind == resp.Map:
+		if s.replies++; s.replies == 2 {
+			s.joined = true
+			f.Joins++
+			for i := 0; i+1 < len(v.Items); i += 2 {
+				if v.Items[i].Text == "period" {
+					s.period = fleet.Micros(v.Items[i+1].Int)
+				}
+			}
+			f.seen(rules.Stream{At: f.loop.Now(), Forwarder: f.Name, Governor: s.governor.Name, Up: true})
+			f.loop.After(fleet.Micros(f.chance.Float()*float64(s.period)), s.report)
+		}
+	case tablewire.IsMessage(v):
+		if m, err := tablewire.Parse(v); err == nil {
+			s.message(m)
+		}
+	case v.Kind == resp.Push && len(v.Items) == 1 && v.Items[0].Text == "elsewhere":
+		s.end()
+		f.next++
+		f.redial()
+	}
+}
+
+// message takes a table message: in order it is applied, an old one only acknowledged, and after a gap a snapshot is
+// asked for. Nothing is guessed.
+func (s *stream) message(m *tablewire.Message) {
+	f := s.f
+	h := f.govLife[s.governor.Name]
+	switch {
+	case m.Whole && (m.Life != h.life || m.Version >= h.version || !f.bound):
+	case m.Life == h.life && m.Version <= h.version:
+		s.ack(m)
+		return
+	case m.Life != h.life || m.Prev != h.version:
+		if now := f.loop.Now(); s.asked == 0 || now-s.asked > fleet.Second+50*fleet.Millisecond {
+			s.asked = now
+			f.Resyncs++
+			_, _ = s.conn.Write(resp.AppendCommand(nil, "RESYNC"))
+		}
+		return
+	}
+	f.Messages++
+	f.Lines += m.Cost
+	f.govLife[s.governor.Name] = held{m.Life, m.Version}
+	f.apply(m)
+	if f.StallFor > 0 {
+		f.Stall(f.StallFor * fleet.Micros(len(m.Lines)))
+	}
+	if f.OnMessage != nil {
+		f.OnMessage(m)
+	}
+	f.run(func() { s.ack(m) })
+}
+
+func (s *stream) ack(m *tablewire.Message) {
+	if s.f.Disobey.NeverAcks || m.Receipt < 0 || s.ended {
+		return
+	}
+	s.f.Acked = s.f.loop.Now()
+	_, _ = s.conn.Write(tablewire.AppendAck(nil, tablewire.Ack{Life: m.Life, Version: m.Version, Receipt: m.Receipt}))
+}
+
+// report sends the sums of a period and books the next.
+func (s *stream) report() {
+	f := s.f
+	if s.ended || s.life != f.life {
+		return
+	}
+	f.loop.After(max(s.period, 10*fleet.Millisecond), s.report)
+	f.run(func() {
+		if s.ended || f.StreamsOnly {
+			return
+		}
+		s.reports++
+		sums := tablewire.Sums{Number: s.reports, Span: s.period}
+		for _, t := range f.at {
+			if t.tries == 0 {
+				continue
+			}
+			one := fleet.Sum{Replica: t.id, Tries: t.tries, Errored: t.errored, Report: t.report}
+			if good := t.tries - t.errored; good > 0 {
+				one.Latency = fleet.Micros(t.latency / float64(good))
+			}
+			sums.Of = append(sums.Of, one)
+			t.tries, t.errored, t.latency, t.report = 0, 0, 0, nil
+		}
+		slices.SortFunc(sums.Of, func(a, b fleet.Sum) int {
+			return strings.Compare(tablewire.Address(a.Replica), tablewire.Address(b.Replica))
+		})
+		_, _ = s.conn.Write(tablewire.AppendSums(nil, sums))
+	})
+}
