--- a/channel/server.go
+++ b/channel/server.go
@@ -412,6 +412,7 @@
 		return
 	}
 	_ = c.SetReadDeadline(time.Now().Add(s.line.Limits.Greeting))
+	_ = c.SetWriteBuffer(s.line.Limits.Unsent) // what the kernel keeps for a slow reader is bounded too
 }
 
 func (s *Server) came(c *nbio.Conn, data []byte) {
