Withdrawals leave together, and binds and weights wait for them

While a proxy is on untold tables each withdrawal goes to all, at a head of nine lines a proxy; sent one a message they kept the queue full for three seconds, binds (under half the queue) got no room, so the proxies stayed loose, and drains came 3.5 s late. Change: what waits leaves in one message, as many as a head costs; what nobody was told of comes before what later joiners missed; binds and weights hold back while drains wait; a few loose proxies are bound (which tells all that is out) before everybody is told again.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -73,6 +73,7 @@
 	loose                           int       // proxies not bound
 	way                             fleet.Way // when proxies try again, as ordered
 	beaten, changed, askAll         bool      // the timer rang; a proxy or a state changed; all are to answer
+	blocked, rush                   bool      // withdrawals wait for room; binds come before them
 	shares, told                    []float64 // let in, by operation; as ordered
 	cheap                           []int     // operations, the one that brings least for its time first
 	came, rate                      float64   // tries since the last report; tries remembered, by time
@@ -583,37 +584,64 @@
 	return true
 }
 
-// shutOut orders a replica out, or back in, if that fits all proxies that hold a line to it. What is charged
+// shutOut orders replicas out, or back in, if that fits all proxies that hold a line to one. What is charged
 // must be answered, or the ledger fills up: while a proxy is on untold tables, all answer.
-func (g *Governor) shutOut(r *replica, out bool, most float64, spare int) {
-	var holders []*proxy
-	for _, l := range r.lines {
-		if l.weight > 0 {
-			holders = append(holders, l.t.users...)
+func (g *Governor) shutOut(out bool, most float64, spare int, replicas ...*replica) bool {
+	holders := g.proxies
+	if g.loose == 0 {
+		holders = nil
+		for _, l := range replicas[0].lines {
+			if l.weight > 0 {
+				holders = append(holders, l.t.users...)
+			}
 		}
 	}
-	if g.loose > 0 {
-		holders = g.proxies
+	if !g.pay(holders, len(replicas), most, spare) {
+		return false
 	}
-	if g.pay(holders, 1, most, spare) {
+	for _, r := range replicas {
 		g.host.Withdraw(r.id, out)
 		r.told, r.toldAt, g.askAll = out, g.now, g.askAll || g.loose > 0
 	}
+	return true
 }
 
-// withdraw shuts replicas out, again for later joiners. If none is left in, those that rest come back.
+// withdraw shuts replicas out, again for later joiners. If none is left in, those that rest come back. While
+// a proxy is on untold tables each message goes to all, and its head is most of it: one a replica would keep
+// the queue full of heads (many proxies come over from a lost governor while replicas are lost too). So what
+// waits leaves together, what nobody was told of first, and binds and weights hold back until it has left.
 func (g *Governor) withdraw() {
 	none := g.count(g.out) == len(g.replicas)
+	head := g.terms.Overhead + 1 + len(g.shares)
+	var waits [3][]*replica // what drains comes before what may come back
 	for _, r := range g.replicas {
 		if none {
 			g.tell(r, rested)
 		}
-		if g.out(r) && (!r.told || g.beaten && g.loose > 0 && r.toldAt <= g.joinedAt) {
-			most := urgent
-			if r.member() {
-				most = 0.7 // what drains comes first
-			}
-			g.shutOut(r, true, most, 1)
+		switch again := r.told && g.beaten && g.loose > 0 && r.toldAt <= g.joinedAt; {
+		case !g.out(r) || r.told && !again:
+		case r.member():
+			waits[2] = append(waits[2], r)
+		case again:
+			waits[1] = append(waits[1], r)
+		default:
+			waits[0] = append(waits[0], r)
+		}
+	}
+	// A bind tells all that is out too, for less where few are loose.
+	again := len(waits[1])
+	g.rush = g.gate == open && again > 0 && g.loose*(head+2+2*g.longest) < len(g.proxies)*(head+again)
+	if g.blocked = false; g.rush {
+		waits[1] = nil
+	}
+	for i, most := range []float64{urgent, urgent, 0.7} {
+		size := 1
+		if g.loose > 0 {
+			size = head // so that heads are half of it
+		}
+		for part := range slices.Chunk(waits[i], size) {
+			sent := g.shutOut(true, most, 1, part...)
+			g.blocked = g.blocked || !sent && i < 2 && g.loose > 0
 		}
 	}
 }
@@ -630,7 +658,8 @@
 		case p.state != loose:
 		case risk[p.zone] && g.pay(one, lines, urgent, 1):
 			apply(g, proxyMoves, &p.state, atRisk, p)
-		case g.gate == open && g.beaten && quota > 0 && g.pay(one, lines, 0.5, 2):
+		case g.gate == open && g.beaten && !g.blocked && quota > 0 && g.pay(one, lines, 0.5, 2),
+			g.rush && g.pay(one, lines, 0.7, 2):
 			quota--
 			apply(g, proxyMoves, &p.state, turn, p)
 		default:
@@ -695,10 +724,10 @@
 	if g.terms.MessagesMost > 0 {
 		span = max(span, 2*g.terms.MessagesSpan/fleet.Micros(g.terms.MessagesMost))
 	}
-	due := g.gate == open && g.beaten && g.now-g.solvedAt >= span
+	due := g.gate == open && g.beaten && !g.blocked && g.now-g.solvedAt >= span
 	for _, r := range g.replicas {
 		if due && r.told && !g.out(r) {
-			g.shutOut(r, false, 0.5, 3)
+			g.shutOut(false, 0.5, 3, r)
 		}
 	}
 	for zone := range g.zones {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -1,6 +1,7 @@
 package decide
 
 import (
+	"fmt"
 	"math"
 	"reflect"
 	"slices"
@@ -510,3 +511,48 @@
 		failIf(t, !reflect.DeepEqual(first, h.orders), "orders differ")
 	}
 }
+
+// Proxies come over from a lost governor while replicas are lost one after the other (hc2f0b0): heads of one withdrawal
+// a message kept the queue full for seconds, and binds took what room there was.
+func TestWithdrawalsLeaveTogether(t *testing.T) {
+	h := warm(t, 12, func(x *fleet.Terms) { x.QueueMost = 1000 })
+	for p := range fleet.ProxyID(40) {
+		h.join(p + 3)
+	}
+	h.acks, h.batches = false, nil
+	h.drain(1)
+	h.drain(2)
+	for n := 3; n <= 7; n++ {
+		h.drain(n)
+	}
+	failIf(t, !h.out[id(1)] || !h.out[id(2)] || h.out[id(3)], "the queue has room for two alone: %v", h.out)
+	binds := len(h.bound)
+	h.ack(h.g.receipt - 1)
+	h.run(1, nil)
+	failIf(t, h.out[id(3)] || len(h.bound) > binds, "with room for one alone something leaves: %v, %d binds", h.out, len(h.bound)-binds)
+	before := len(h.batches)
+	h.ack(h.g.receipt)
+	h.run(1, nil)
+	for n := 3; n <= 7; n++ {
+		failIf(t, !h.out[id(n)], "%d is not out", n)
+	}
+	failIf(t, len(h.batches) != before+1, "they leave in %d messages", len(h.batches)-before)
+}
+
+// A few loose proxies are bound, which tells all that is out, before everybody is told of everything again.
+func TestAFewJoinersAreBound(t *testing.T) {
+	h := warm(t, 12, func(x *fleet.Terms) { x.QueueMost = 100000 })
+	for p := range fleet.ProxyID(40) {
+		h.join(p + 3)
+	}
+	h.run(3, h.all(12))
+	h.drain(1)
+	h.drain(2)
+	h.join(50)
+	h.orders = nil
+	h.run(1, h.all(12))
+	failIf(t, h.bound[50] != 1, "the joiner is not bound")
+	for _, o := range h.orders {
+		failIf(t, o == fmt.Sprint(id(1), true), "all are told of an old withdrawal again")
+	}
+}
--- a/decide/host_test.go
+++ b/decide/host_test.go
@@ -167,3 +167,10 @@
 			Span: fleet.Second, Report: []float64{share}})
 	}
 }
+
+// ack has every proxy acknowledge up to a number.
+func (h *fakeHost) ack(number int) {
+	for _, p := range h.joined {
+		h.g.Applied(h.now, p, uint32(number))
+	}
+}
