--- /dev/null
+++ b/governor/governor_test.go
@@ -0,0 +1,217 @@
+package governor
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+
+	"peppervale/channel"
+	"peppervale/fleet"
+	"peppervale/tablewire"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func id(n byte) fleet.ReplicaID { return fleet.ReplicaID{Addr: [4]byte{127, 0, 0, n}, Port: 80} }
+
+// What a forwarder's newest state is, whatever came in which order, is one slot; the module hears of each end once.
+func TestTheMailboxKeepsTheNewest(t *testing.T) {
+	m := newMailbox()
+	m.Joined(1, 10, tablewire.Join{Name: "a", Rate: 1}, 0)
+	m.Applied(1, 10, 3) // before its join was taken: nothing was ordered yet
+	m.Left(1, 10)
+	m.Joined(1, 11, tablewire.Join{Name: "a", Rate: 2}, 1)
+	m.Left(1, 10) // the old stream's end comes late
+	got := m.take(10)
+	if len(got.slots) != 1 || !got.slots[0].joined || got.slots[0].stream != 11 || got.slots[0].join.Rate != 2 || got.slots[0].receipt != -1 {
+		t.Fatalf("%+v", got.slots)
+	}
+	m.Applied(1, 11, 4)
+	m.Applied(1, 11, 5)
+	m.Applied(1, 10, 9) // of the old stream
+	if got = m.take(10); len(got.slots) != 1 || got.slots[0].receipt != 5 || got.slots[0].joined {
+		t.Fatalf("%+v", got.slots)
+	}
+	m.Left(1, 11)
+	if got = m.take(10); len(got.slots) != 1 || !got.slots[0].left {
+		t.Fatalf("%+v", got.slots)
+	}
+	if len(m.streams) != 0 || len(m.take(10).slots) != 0 {
+		t.Fatal("a forwarder that left is kept")
+	}
+}
+
+// A hundred thousand joins, leaves and sums of one fleet wait in no more room than the fleet takes.
+func TestTheMailboxIsBoundedByTheFleet(t *testing.T) {
+	m := newMailbox()
+	for n := range 100_000 {
+		p := fleet.ProxyID(n % 50)
+		m.Joined(p, uint64(n+1), tablewire.Join{}, 0)
+		m.Heard(n%2, []fleet.Sum{{Replica: id(byte(n % 30)), Tries: 2, Errored: 1, Latency: 100, Span: fleet.Second}})
+		m.Listed(fleet.Whole, nil)
+	}
+	if len(m.dirty) != 50 || len(m.sums) != 30 || len(m.turn) != 30 {
+		t.Fatalf("%d slots, %d sums", len(m.dirty), len(m.sums))
+	}
+	got := m.take(4)
+	if len(got.slots) != 50 || len(got.sums) != 4 || got.list == nil {
+		t.Fatalf("%d slots, %d sums", len(got.slots), len(got.sums))
+	}
+	tries, errored := 0, 0
+	for _, s := range append(got.sums, m.take(100).sums...) {
+		tries, errored = tries+s.Tries, errored+s.Errored
+		if s.Latency != 100 {
+			t.Fatalf("folded to %+v", s)
+		}
+	}
+	if tries != 200_000 || errored != 100_000 {
+		t.Fatalf("%d tries, %d errored: folding loses some", tries, errored)
+	}
+}
+
+// Sums that wait for their turn longer than a step fold, and the folds are counted; means weigh by good tries.
+func TestFoldsAreCounted(t *testing.T) {
+	m := newMailbox()
+	one := func(tries int, latency fleet.Micros) {
+		m.Heard(0, []fleet.Sum{{Replica: id(1), Tries: tries, Latency: latency, Span: fleet.Second, Report: []float64{float64(tries)}}})
+	}
+	one(1, 100)
+	m.take(0)
+	one(3, 200)
+	got := m.take(1).sums
+	want := []fleet.Sum{{Replica: id(1), Tries: 4, Latency: 175, Span: fleet.Second, Report: []float64{3}}}
+	if m.folds != 1 || !reflect.DeepEqual(got, want) {
+		t.Fatalf("%d folds, %+v", m.folds, got)
+	}
+}
+
+// A failed call never hides a list that waits, and neither is lost.
+func TestNewsOfTheList(t *testing.T) {
+	m := newMailbox()
+	m.Listed(fleet.Whole, []fleet.Listing{{ID: id(1)}})
+	m.Listed(fleet.Failed, nil)
+	if got := m.take(0).list; got == nil || got.scope != fleet.Whole || len(got.entries) != 1 {
+		t.Fatalf("%+v", got)
+	}
+	m.Listed(fleet.Failed, nil)
+	if got := m.take(0).list; got == nil || got.scope != fleet.Failed {
+		t.Fatalf("%+v", got)
+	}
+}
+
+// outside is the channel and the list by hand.
+type outside struct {
+	batches chan *channel.Batch
+	events  chan string
+}
+
+func (o *outside) Admit(p fleet.ProxyID, stream uint64) {
+	o.events <- fmt.Sprint("admit ", p, " ", stream)
+}
+func (o *outside) Publish(b *channel.Batch) { o.batches <- b }
+func (o *outside) Follow()                  { o.events <- "follow" }
+
+func (o *outside) event(t *testing.T, want string) {
+	t.Helper()
+	select {
+	case got := <-o.events:
+		if got != want {
+			t.Fatalf("%s, want %s", got, want)
+		}
+	case <-time.After(10 * time.Second):
+		t.Fatalf("no %s", want)
+	}
+}
+
+// until takes batches until one holds such an order.
+func (o *outside) until(t *testing.T, what What, about string) *channel.Batch {
+	t.Helper()
+	late := time.After(20 * time.Second)
+	for {
+		select {
+		case b := <-o.batches:
+			for _, one := range b.Orders {
+				if what(one) {
+					return b
+				}
+			}
+		case <-late:
+			t.Fatalf("no order: %s", about)
+		}
+	}
+}
+
+// What tells an order.
+type What func(o channel.Order) bool
+
+func start(t *testing.T, cached []fleet.Listing, change func(*fleet.Terms)) (*Host, *outside) {
+	terms := fleet.Terms{Seed: 1, Operations: []fleet.Operation{{Objective: 500_000, Value: 1}}, Zones: 1, Subscribe: true, Admits: true,
+		AdmitAll: 1, StandingSize: 4, Period: 200 * fleet.Millisecond, Overhead: 6, QueueMost: 100_000, BusyField: -1, Cold: 17 * fleet.Second}
+	if change != nil {
+		change(&terms)
+	}
+	h := New(terms, 1000, Clock(), zerolog.Nop())
+	o := &outside{batches: make(chan *channel.Batch, 10_000), events: make(chan string, 10_000)}
+	go h.Run(o, o, cached)
+	t.Cleanup(h.Stop)
+	o.event(t, "follow")
+	return h, o
+}
+
+func ready(numbers ...byte) (all []fleet.Listing) {
+	for _, n := range numbers {
+		all = append(all, fleet.Listing{ID: id(n), Life: fleet.Ready})
+	}
+	return all
+}
+
+func bind(o channel.Order) bool { return o.What == channel.Bind }
+
+// After a start nobody is bound before each listed replica is named in a report, and drains go out meanwhile.
+func TestTheGateHoldsAndDrainsGoOut(t *testing.T) {
+	// A period of 10 s: the start window does not end within this test.
+	h, o := start(t, ready(1, 2, 3), func(x *fleet.Terms) { x.Period = 5 * fleet.Second })
+	h.Joined(7, 70, tablewire.Join{Name: "till", Rate: 5}, 0)
+	o.event(t, "admit 7 70")
+	h.Listed(fleet.Whole, append(ready(1, 2), fleet.Listing{ID: id(3), Life: fleet.Draining}))
+	b := o.until(t, func(o channel.Order) bool { return o.What == channel.Withdraw && o.Out && o.Replica == id(3) }, "the drain")
+	for _, one := range b.Orders {
+		if bind(one) {
+			t.Fatal("bound while the gate is shut")
+		}
+	}
+	if v := h.View(); v.GateOpen || v.Ready != 2 || v.Listed != 3 {
+		t.Fatalf("%+v", v)
+	}
+}
+
+// Once each replica was heard of, forwarders are bound, and a receipt is asked for with the same batch.
+func TestTheGateOpensOnReports(t *testing.T) {
+	h, o := start(t, ready(1, 2), nil)
+	h.Joined(7, 70, tablewire.Join{Name: "till", Rate: 5}, 0)
+	o.event(t, "admit 7 70")
+	h.Heard(0, []fleet.Sum{{Replica: id(1), Tries: 5, Latency: 1000, Span: fleet.Second}, {Replica: id(2), Tries: 5, Latency: 1000, Span: fleet.Second}})
+	b := o.until(t, bind, "a bind")
+	if b.Receipt < 0 || b.At == 0 {
+		t.Fatalf("%+v", b)
+	}
+	h.Applied(7, 70, uint32(b.Receipt))
+	h.Left(7, 70)
+	h.Joined(7, 71, tablewire.Join{Name: "till", Rate: 5}, 0)
+	o.event(t, "admit 7 71")
+	o.until(t, bind, "a bind for the new stream")
+}
+
+// A list out of reach is asked for again, and what is known stays.
+func TestAFailedListIsAskedForAgain(t *testing.T) {
+	h, o := start(t, ready(1, 2), nil)
+	h.Listed(fleet.Failed, nil)
+	o.event(t, "follow")
+	if v := h.View(); v.Ready != 2 {
+		t.Fatalf("%+v", v)
+	}
+}
--- a/sockets/sockets.go
+++ b/sockets/sockets.go
@@ -4,6 +4,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lesismal/nbio"
@@ -19,6 +20,10 @@
 	Wrote func(c *nbio.Conn, n int)
 }
 
+// fence orders what Open wrote before what Data reads on another goroutine: between them lies the kernel's poller, of
+// which Go's memory model knows nothing.
+var fence atomic.Int64
+
 var quiet = sync.OnceFunc(func() { logging.SetLevel(logging.LevelNone) })
 
 // Start makes and starts an engine; with no address it only dials. Errors are those of the addresses.
@@ -26,10 +31,16 @@
 	quiet()
 	e := nbio.NewEngine(nbio.Config{Network: "tcp", Addrs: addresses, NPoller: pollers})
 	if h.Open != nil {
-		e.OnOpen(h.Open)
+		e.OnOpen(func(c *nbio.Conn) {
+			h.Open(c)
+			fence.Add(1)
+		})
 	}
 	if h.Data != nil {
-		e.OnData(h.Data)
+		e.OnData(func(c *nbio.Conn, data []byte) {
+			fence.Load()
+			h.Data(c, data)
+		})
 	}
 	if h.Close != nil {
 		e.OnClose(h.Close)
@@ -57,6 +68,7 @@
 		c, err := nbio.NBConn(conn) // closes conn: it has a descriptor of its own
 		if err == nil {
 			c.SetSession(session)
+			fence.Add(1)
 			c, err = e.AddConn(c)
 		}
 		done(c, err)
