--- a/command/command.go
+++ b/command/command.go
@@ -16,6 +16,7 @@
 
 	"peppervale/day"
 	"peppervale/governor"
+	"peppervale/measure"
 	"peppervale/site"
 )
 
@@ -30,6 +31,7 @@
 	Governor Governor `cmd:"" help:"Run a governor until a signal ends it."`
 	Check    Check    `cmd:"" help:"Read a governor's or a day's file, tell each fault with its place, start nothing."`
 	Day      Day      `cmd:"" help:"Play scripted days on loopback sockets."`
+	Measure  Measure  `cmd:"" help:"Time parts of the program on this machine."`
 	Version  Version  `cmd:"" help:"Tell the version."`
 }
 
@@ -95,8 +97,9 @@
 
 // Day is peppervale day.
 type Day struct {
-	Run  DayRun  `cmd:"" help:"Play a day and judge the rules; exit status 1 if one broke."`
-	List DayList `cmd:"" help:"List the scripts of a folder."`
+	Run  DayRun    `cmd:"" help:"Play a day and judge the rules; exit status 1 if one broke."`
+	List DayList   `cmd:"" help:"List the scripts of a folder."`
+	From FromBench `cmd:"" name:"from-bench" help:"Turn a day drawn by the bench into a script, scaled to this machine."`
 }
 
 // DayRun is peppervale day run.
@@ -140,6 +143,35 @@
 	return nil
 }
 
+// FromBench is peppervale day from-bench.
+type FromBench struct {
+	File       string `arg:"" help:"The bench's day, JSON." type:"existingfile"`
+	Out        string `short:"o" required:"" help:"The script to write." type:"path"`
+	Forwarders int    `help:"Forwarders at most; the rest shrinks alike." default:"60"`
+}
+
+// Run is the command.
+func (c *FromBench) Run(out io.Writer) error {
+	text, err := os.ReadFile(c.File)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrInput, err)
+	}
+	script, notes, err := day.FromBench(text, c.Forwarders)
+	if err != nil {
+		return fmt.Errorf("%w: %s: %w", ErrInput, c.File, err)
+	}
+	if _, err := day.Parse(c.Out, script); err != nil {
+		return fmt.Errorf("%w: the day cannot be carried over:\n%w", ErrInput, err)
+	}
+	if err := os.WriteFile(c.Out, script, 0o644); err != nil {
+		return err
+	}
+	for _, n := range notes {
+		fmt.Fprintln(out, "note:", n)
+	}
+	return nil
+}
+
 // DayList is peppervale day list.
 type DayList struct {
 	Folder string `arg:"" optional:"" default:"days" help:"Where the scripts are." type:"path"`
@@ -162,6 +194,35 @@
 	return nil
 }
 
+// Measure is peppervale measure.
+type Measure struct {
+	Channel MeasureChannel `cmd:"" help:"Time the channel from Publish to the last receipt, beside plain sockets."`
+}
+
+// MeasureChannel is peppervale measure channel.
+type MeasureChannel struct {
+	Forwarders []int `help:"Sizes." default:"40,400,2000"`
+	Lines      int   `help:"Lines changed in a round." default:"20"`
+	Rounds     int   `help:"Rounds." default:"50"`
+}
+
+// Run is the command.
+func (c *MeasureChannel) Run(out io.Writer) error {
+	var all []*measure.ChannelFigures
+	for _, n := range c.Forwarders {
+		if n < 1 || n > 10_000 || c.Lines < 1 || c.Lines > 10_000 || c.Rounds < 1 {
+			return fmt.Errorf("%w: 1 to 10000 forwarders and lines, and a round, are wanted", ErrInput)
+		}
+		f, err := measure.Channel(n, c.Lines, c.Rounds)
+		if err != nil {
+			return err
+		}
+		all = append(all, f)
+	}
+	measure.Print(out, all)
+	return nil
+}
+
 // Version is peppervale version.
 type Version struct{}
 
--- /dev/null
+++ b/day/day_test.go
@@ -0,0 +1,197 @@
+package day
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
+
+	"peppervale/governor"
+	"peppervale/rules"
+	"peppervale/site"
+)
+
+// The test binary is the governors' program too: started with "governor --config FILE" it is one.
+func TestMain(m *testing.M) {
+	if len(os.Args) == 4 && os.Args[1] == "governor" {
+		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+		defer stop()
+		g, err := site.OpenGovernor(os.Args[3])
+		if err == nil {
+			err = governor.Serve(ctx, g, zerolog.New(os.Stdout).With().Timestamp().Logger())
+		}
+		if err != nil {
+			os.Stderr.WriteString(err.Error())
+			os.Exit(1)
+		}
+		return
+	}
+	goleak.VerifyTestMain(m)
+}
+
+// playDay plays a day of the folder days, shortened and with its steps replaced where the story wants that.
+func playDay(t *testing.T, path string, change func(s *Script)) *Report {
+	t.Helper()
+	s, err := Open(filepath.Join("..", "days", path))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if change != nil {
+		change(s)
+	}
+	r, err := Run(context.Background(), s, Setting{Program: []string{os.Args[0], "governor"}, Folder: t.TempDir()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// story plays a short day of the town with these steps and wants every rule kept.
+func story(t *testing.T, length float64, governors []string, rate float64, steps ...Step) *Report {
+	t.Helper()
+	r := playDay(t, "hall-lost.hcl", func(s *Script) {
+		s.Name, s.Length, s.Governors, s.Steps, s.Load.Rate = t.Name(), seconds(length), governors, steps, rate
+	})
+	var out bytes.Buffer
+	r.Print(&out)
+	if r.Broken() || r.Tipped > 0 {
+		t.Errorf("a rule broke:\n%s", out.String())
+	}
+	if r.Channel.Bound == 0 {
+		t.Errorf("nobody is bound at the end:\n%s", out.String())
+	}
+	return r
+}
+
+var two = []string{"govan", "partick"}
+
+// Each rogue breaks its own rule and no other, and the break names who, where and when.
+func TestTheCheckerCanFail(t *testing.T) {
+	for kind, rule := range map[string]string{"empty-table": rules.Lost, "repeats-anything": rules.Double, "hides-drains": rules.Drain,
+		"full-to-cold": rules.Failback, "floods": rules.Backlog} {
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			for _, v := range playDay(t, "broken/"+kind+".hcl", nil).Rules {
+				if broken := len(v.Breaks) > 0; broken != (v.Rule == rule) {
+					t.Errorf("%s: %.2f of the limit, %v", v.Rule, v.Nearest, v.Breaks)
+				} else if broken && (!strings.Contains(v.Breaks[0], " s: ") || !strings.Contains(v.Breaks[0], "allowed") && rule != rules.Double) {
+					t.Errorf("%s tells too little: %s", rule, v.Breaks[0])
+				}
+			}
+		})
+	}
+	t.Run("a forwarder that ignores withdrawals", func(t *testing.T) {
+		t.Parallel()
+		r := playDay(t, "hall-lost.hcl", func(s *Script) {
+			s.Length = seconds(12)
+			s.Steps = []Step{{Kind: "disobey", At: 0, Lasts: seconds(12), Part: 0.5, Group: "shuts"}, {Kind: "drain", At: seconds(3), Lasts: seconds(9), Part: 0.4}}
+		})
+		if v := r.Rules[2]; len(v.Breaks) == 0 {
+			t.Errorf("a disobedient forwarder is not seen: %+v", v)
+		}
+	})
+}
+
+func TestDays(t *testing.T) {
+	if testing.Short() {
+		t.Skip("days take seconds of sockets each")
+	}
+	for name, do := range map[string]func(t *testing.T){
+		"a hall lost with its forwarders and governor, back cold": func(t *testing.T) {
+			story(t, 22, two, 100, Step{Kind: "zone_loss", At: seconds(6), Lasts: seconds(5), Zone: "partick"})
+		},
+		"the only governor is killed under load and knows only its last list": func(t *testing.T) {
+			r := story(t, 18, two[:1], 100, Step{Kind: "governor_crash", At: seconds(6), Lasts: seconds(2), Part: 1},
+				Step{Kind: "drain", At: seconds(7), Lasts: seconds(8), Part: 0.2})
+			if r.Channel.Joins < 80 {
+				t.Errorf("%d joins: not everybody came back", r.Channel.Joins)
+			}
+		},
+		"all forty streams break at once, and again": func(t *testing.T) {
+			r := story(t, 15, two, 100, Step{Kind: "reconnect", At: seconds(5), Part: 1}, Step{Kind: "reconnect", At: seconds(5.05), Part: 1},
+				Step{Kind: "reconnect", At: seconds(8), Part: 1}, Step{Kind: "drain", At: seconds(8), Lasts: seconds(5), Part: 0.2})
+			if r.Channel.Bound != 40 || r.Channel.Joins < 120 {
+				t.Errorf("%d of 40 bound after %d joins", r.Channel.Bound, r.Channel.Joins)
+			}
+		},
+		"a warm replica of another zone is all there is": func(t *testing.T) {
+			story(t, 18, two, 15, Step{Kind: "drain", At: seconds(5), Lasts: seconds(7), Group: "but-one"})
+		},
+		"the list fails in every way while replicas drain": func(t *testing.T) {
+			story(t, 22, two, 100, Step{Kind: "list_down", At: seconds(4), Lasts: seconds(3)}, Step{Kind: "drain", At: seconds(6), Lasts: seconds(9), Part: 0.2},
+				Step{Kind: "list_half", At: seconds(8), Lasts: seconds(2)}, Step{Kind: "list_back", At: seconds(11), Lasts: seconds(2)},
+				Step{Kind: "list_silent", At: seconds(14), Lasts: seconds(2)}, Step{Kind: "sums_late", At: seconds(5), Lasts: seconds(12), Size: 2})
+		},
+		"forwarders stand still, or never acknowledge, while replicas drain": func(t *testing.T) {
+			story(t, 16, two, 100, Step{Kind: "forwarder_stall", At: seconds(4), Part: 0.2, Size: 1, Number: 4}, Step{Kind: "never_ack", At: seconds(4), Lasts: seconds(8), Part: 0.1},
+				Step{Kind: "drain", At: seconds(6), Lasts: seconds(6), Part: 0.2})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			do(t)
+		})
+	}
+}
+
+func TestScriptsOfTheRepository(t *testing.T) {
+	for _, pattern := range []string{"*.hcl", "broken/*.hcl"} {
+		files, err := filepath.Glob(filepath.Join("..", "days", pattern))
+		if err != nil || len(files) == 0 {
+			t.Fatal("no scripts: ", err)
+		}
+		for _, f := range files {
+			if s, err := Open(f); err != nil || s.About == "" {
+				t.Errorf("%s: %v", f, err)
+			}
+		}
+	}
+}
+
+func TestFaultsOfAScript(t *testing.T) {
+	text, err := os.ReadFile("../days/hall-lost.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, c := range map[string]struct{ from, to, want string }{
+		"a kind that is none":       {`"zone_loss"`, `"earthquake"`, `no kind "earthquake"; there are [ageing`},
+		"a zone that is none":       {`zone  = "partick"`, `zone  = "leith"`, `"leith" is none of the zones`},
+		"a step after the end":      {`"12s"`, `"50s"`, "the day has ended by then"},
+		"a governor without a zone": {`["govan", "partick"]`, `["leith"]`, `"leith" is none of the zones`},
+		"a town that is not there":  {"lib/town.hcl", "lib/city.hcl", "no such file"},
+	} {
+		_, err := Parse("../days/x.hcl", []byte(strings.Replace(string(text), c.from, c.to, 1)))
+		if err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+// A day that is cut off ends all that it started.
+func TestADayCutOff(t *testing.T) {
+	s, err := Open("../days/hall-lost.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	s.Steps = []Step{{Kind: "reconnect", At: seconds(1), Part: 1}}
+	progress := writer(func(b []byte) {
+		if bytes.Contains(b, []byte("reconnect")) {
+			cancel()
+		}
+	})
+	if _, err := Run(ctx, s, Setting{Program: []string{os.Args[0], "governor"}, Progress: progress}); err == nil || !strings.Contains(err.Error(), "cut off") {
+		t.Fatal(err)
+	}
+}
+
+type writer func([]byte)
+
+func (w writer) Write(b []byte) (int, error) { w(b); return len(b), nil }
--- a/day/run.go
+++ b/day/run.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -151,10 +152,14 @@
 	}
 }
 
+// nets counts the days of this process, so that each begins its search elsewhere.
+var nets atomic.Int64
+
 // freeNet finds a 127.x net in which nobody listens, so that two days on one machine do not meet.
 func freeNet() (int, error) {
+	first := os.Getpid() + int(nets.Add(1))*41
 	for k := range 100 {
-		octet := 20 + (os.Getpid()+k*37)%200
+		octet := 20 + (first+k*37)%200
 		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.255.1:7699", octet))
 		if err == nil {
 			l.Close()
--- a/day/script.go
+++ b/day/script.go
@@ -10,6 +10,7 @@
 import (
 	"bytes"
 	"fmt"
+	"path/filepath"
 	"slices"
 	"time"
 
@@ -108,6 +109,7 @@
 	"deploy":          "replicas are replaced number at a time: drained for size seconds, restarted cold",
 	"drain":           "a part of the replicas drains for the time; group \"but-one\" spares one in another zone",
 	"grow":            "number replicas more in each zone, cold",
+	"sums_late":       "forwarders' sums leave size seconds late",
 	"heavy_tail":      "a part of the invocations costs size times the work",
 	"class_fail":      "a part of the replicas fails one operation (group names it)",
 	"conn_squeeze":    "replicas accept number connections",
@@ -124,24 +126,25 @@
 	if top == nil {
 		return nil, r.Err()
 	}
-	s := read(top)
-	return s, r.Err()
+	return read(top, filepath.Dir(path)), r.Err()
 }
 
-// Parse reads a script from a text.
+// Parse reads a script from a text, as if it stood at path.
 func Parse(path string, text []byte) (*Script, error) {
 	r, top := site.Parse(path, text)
 	if top == nil {
 		return nil, r.Err()
 	}
-	s := read(top)
-	return s, r.Err()
+	return read(top, filepath.Dir(path)), r.Err()
 }
 
 const hour = 3600 * fleet.Second
 
-func read(top *site.Block) *Script {
+func read(top *site.Block, dir string) *Script {
 	s := &Script{}
+	if base := top.Maybe("like"); base != "" { // a day of the same town
+		top.Inherit(filepath.Join(dir, base), "day", "step")
+	}
 	d := top.One("day", 1, true)
 	s.Name = d.Labels[0]
 	s.About = d.Maybe("about")
@@ -197,7 +200,7 @@
 		b.Fault("", "load: a block work \"operation\" { } is missing")
 	}
 	b.Done()
-	for _, b := range top.Blocks("step", 1) {
+	for _, b := range top.Repeated("step", 1) {
 		s.Steps = append(s.Steps, s.step(b))
 	}
 	top.Done()
--- a/day/steps.go
+++ b/day/steps.go
@@ -105,6 +105,12 @@
 			d.loop.After(t.Lasts, func() { delete(c.Cut, first) })
 		}
 	},
+	"sums_late": func(d *play, t Step) {
+		for _, c := range d.forwarders {
+			c.SumsLate = seconds(t.Size)
+			d.loop.After(t.Lasts, func() { c.SumsLate = 0 })
+		}
+	},
 	"never_ack": func(d *play, t Step) {
 		for _, c := range d.struckForwarders(t) {
 			c.Disobey.NeverAcks = true
--- /dev/null
+++ b/days/one-warm.hcl
@@ -0,0 +1,27 @@
+# Every recipe server drains but one, warm and in another hall than most forwarders.
+like = "lib/town.hcl"
+
+day "one-warm" {
+  about     = "all replicas drain but a warm one in another hall"
+  length    = "25s"
+  seed      = 17
+  governors = ["govan", "partick"]
+}
+
+load {
+  rate = 20
+  work "recipe-read" {
+    share = 0.62
+    mean  = "60ms"
+  }
+  work "batch-log" {
+    share = 0.38
+    mean  = "90ms"
+  }
+}
+
+step "drain" {
+  at    = "8s"
+  lasts = "8s"
+  group = "but-one"
+}
--- /dev/null
+++ b/days/reconnects.hcl
@@ -0,0 +1,43 @@
+# Streams break again and again, at last all forty at once; some forwarders stand still, some acknowledge nothing.
+like = "lib/town.hcl"
+
+day "reconnects" {
+  about     = "all streams break at once, again and again; forwarders stand still or never acknowledge"
+  length    = "30s"
+  seed      = 13
+  governors = ["govan", "dalmarnock"]
+}
+
+step "reconnect" {
+  at   = "3s"
+  part = 0.5
+}
+step "forwarder_stall" {
+  at     = "6s"
+  part   = 0.2
+  size   = 1
+  number = 6
+}
+step "never_ack" {
+  at    = "6s"
+  lasts = "12s"
+  part  = 0.1
+}
+step "reconnect" {
+  at   = "10s"
+  part = 1
+}
+step "drain" {
+  at    = "10s"
+  lasts = "8s"
+  part  = 0.2
+}
+step "reconnect" {
+  at   = "11s"
+  part = 1
+}
+step "one_sided" {
+  at    = "18s"
+  lasts = "6s"
+  part  = 0.3
+}
--- a/site/reader.go
+++ b/site/reader.go
@@ -22,7 +22,7 @@
 // Reader reads one file and gathers its faults.
 type Reader struct {
 	file   string
-	text   []byte
+	texts  map[string][]byte // by file; more than one where a file builds on another
 	faults []Fault
 }
 
@@ -67,7 +67,7 @@
 
 // Parse is Open for a text.
 func Parse(path string, text []byte) (*Reader, *Block) {
-	r := &Reader{file: path, text: text}
+	r := &Reader{file: path, texts: map[string][]byte{path: text}}
 	file, diags := hclsyntax.ParseConfig(text, path, hcl.InitialPos)
 	for _, d := range diags {
 		if d.Severity == hcl.DiagError {
@@ -86,7 +86,11 @@
 }
 
 func (r *Reader) fault(at hcl.Range, format string, args ...any) {
-	r.faults = append(r.faults, Fault{r.file, max(at.Start.Line, 1), max(at.Start.Column, 1), fmt.Sprintf(format, args...)})
+	file := r.file
+	if at.Filename != "" {
+		file = at.Filename
+	}
+	r.faults = append(r.faults, Fault{file, max(at.Start.Line, 1), max(at.Start.Column, 1), fmt.Sprintf(format, args...)})
 }
 
 // Err gives all faults as Faults, in the file's order, or nil.
@@ -110,6 +114,32 @@
 	b.r.fault(at, format, args...)
 }
 
+// Inherit takes from another file what this one does not have: settings by name, blocks by kind, but for the kinds left
+// out. That file's faults become this one's.
+func (b *Block) Inherit(path string, but ...string) {
+	other, top := Open(path)
+	b.r.faults = append(b.r.faults, other.faults...)
+	if top == nil {
+		return
+	}
+	other.faults = nil
+	b.r.texts[path] = other.texts[path]
+	for name, a := range top.body.Attributes {
+		if b.body.Attributes[name] == nil {
+			b.body.Attributes[name] = a
+		}
+	}
+	mine := map[string]bool{}
+	for _, x := range b.body.Blocks {
+		mine[x.Type] = true
+	}
+	for _, x := range top.body.Blocks {
+		if !mine[x.Type] && !slices.Contains(but, x.Type) {
+			b.body.Blocks = append(b.body.Blocks, x)
+		}
+	}
+}
+
 // Has tells whether an attribute is given.
 func (b *Block) Has(name string) bool { return b.body.Attributes[name] != nil }
 
@@ -253,8 +283,19 @@
 	return span
 }
 
-// Blocks gives the blocks of a type, with that many labels each.
-func (b *Block) Blocks(kind string, labels int) (all []*Block) {
+// Blocks gives the blocks of a type, with that many labels each; no two have the same.
+func (b *Block) Blocks(kind string, labels int) []*Block {
+	all := b.Repeated(kind, labels)
+	for i, one := range all {
+		if labels > 0 && slices.ContainsFunc(all[:i], func(o *Block) bool { return slices.Equal(o.Labels, one.Labels) }) {
+			one.Fault("", "%s %q stands there twice; leave one out", kind, one.Labels[0])
+		}
+	}
+	return all
+}
+
+// Repeated is Blocks where the same labels may come again.
+func (b *Block) Repeated(kind string, labels int) (all []*Block) {
 	b.blocks = append(b.blocks, kind)
 	for _, x := range b.body.Blocks {
 		if x.Type != kind {
@@ -264,11 +305,7 @@
 			b.r.fault(x.DefRange(), "%s: a block with %d names in quotes is wanted", kind, labels)
 			continue
 		}
-		one := &Block{Labels: x.Labels, r: b.r, body: x.Body, at: x.DefRange()}
-		if labels > 0 && slices.ContainsFunc(all, func(o *Block) bool { return slices.Equal(o.Labels, x.Labels) }) {
-			one.Fault("", "%s %q stands there twice; leave one out", kind, x.Labels[0])
-		}
-		all = append(all, one)
+		all = append(all, &Block{Labels: x.Labels, r: b.r, body: x.Body, at: x.DefRange()})
 	}
 	return all
 }
@@ -293,12 +330,12 @@
 func (b *Block) Source(names ...string) (text []byte) {
 	for _, a := range b.body.Attributes {
 		if slices.Contains(names, a.Name) {
-			text = append(append(text, a.SrcRange.SliceBytes(b.r.text)...), '\n')
+			text = append(append(text, a.SrcRange.SliceBytes(b.r.texts[a.SrcRange.Filename])...), '\n')
 		}
 	}
 	for _, x := range b.body.Blocks {
 		if slices.Contains(names, x.Type) {
-			text = append(append(text, x.Range().SliceBytes(b.r.text)...), '\n')
+			text = append(append(text, x.Range().SliceBytes(b.r.texts[x.Range().Filename])...), '\n')
 		}
 	}
 	return text
--- a/stand/forwarder/forwarder.go
+++ b/stand/forwarder/forwarder.go
@@ -85,6 +85,8 @@
 type Forwarder struct {
 	Facts
 	Disobey Disobey
+	// SumsLate holds its sums back for so long.
+	SumsLate fleet.Micros
 	// Cut keeps it from reaching a governor, by its name: a link that is down.
 	Cut     map[string]bool
 	loop    *stand.Loop
--- a/stand/forwarder/stream.go
+++ b/stand/forwarder/stream.go
@@ -243,6 +243,11 @@
 		slices.SortFunc(sums.Of, func(a, b fleet.Sum) int {
 			return strings.Compare(tablewire.Address(a.Replica), tablewire.Address(b.Replica))
 		})
-		_, _ = s.conn.Write(tablewire.AppendSums(nil, sums))
+		b := tablewire.AppendSums(nil, sums)
+		if f.SumsLate > 0 {
+			f.loop.After(f.SumsLate, func() { _, _ = s.conn.Write(b) })
+			return
+		}
+		_, _ = s.conn.Write(b)
 	})
 }
