--- a/channel/board.go
+++ b/channel/board.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 
 	"peppervale/fleet"
 	"peppervale/tablewire"
@@ -63,9 +64,10 @@
 type holder struct {
 	proxy   fleet.ProxyID
 	name    string
-	table   *table // nil: on tables of its own
-	version uint64 // of the newest message made for it
-	receipt int    // the newest number asked of it
+	table   *table                   // nil: on tables of its own
+	version uint64                   // of the newest message made for it
+	receipt int                      // the newest number asked of it
+	shut    map[fleet.ReplicaID]bool // told out, and not back since
 	draft   *draft
 }
 
@@ -90,7 +92,7 @@
 
 func (b *board) join(p fleet.ProxyID, name string) *holder {
 	b.leave(p)
-	h := &holder{proxy: p, name: name, version: b.version, receipt: -1}
+	h := &holder{proxy: p, name: name, version: b.version, receipt: -1, shut: map[fleet.ReplicaID]bool{}}
 	b.byProxy[p], b.holders = h, append(b.holders, h)
 	return h
 }
@@ -190,7 +192,8 @@
 		for _, h := range t.users {
 			d := h.drafted()
 			d.lines = append(d.lines, o.Replica)
-			if !had && b.out[o.Replica] { // the withdrawal passed it by
+			// A line laid anew brings along what passed it by while there was none: a withdrawal, or its end.
+			if !had && b.out[o.Replica] != h.shut[o.Replica] {
 				d.shuts = append(d.shuts, o.Replica)
 			}
 		}
@@ -252,6 +255,9 @@
 		if !seen[r] {
 			seen[r] = true
 			m.Shuts = append(m.Shuts, tablewire.Shut{Replica: r, Out: b.out[r]})
+			if delete(h.shut, r); b.out[r] {
+				h.shut[r] = true
+			}
 		}
 	}
 	m.Cost = b.overhead + len(m.Lines) + len(m.Shuts) + len(m.Levels)
@@ -269,9 +275,20 @@
 func (b *board) snapshot(h *holder) *tablewire.Message {
 	m := &tablewire.Message{Whole: true, Life: b.life, Prev: h.version, Version: h.version, Receipt: h.receipt,
 		Levels: slices.Clone(b.levels)}
+	// Bound, it forgets every withdrawal but these; else it keeps those of others, and is told the end of ours.
+	for r := range h.shut {
+		if h.table == nil && !b.out[r] {
+			m.Shuts = append(m.Shuts, tablewire.Shut{Replica: r})
+		}
+	}
+	slices.SortFunc(m.Shuts, func(x, y tablewire.Shut) int { // the same bytes from the same orders
+		return strings.Compare(tablewire.Address(x.Replica), tablewire.Address(y.Replica))
+	})
+	clear(h.shut)
 	for _, r := range b.outs {
 		if h.holds(r) {
 			m.Shuts = append(m.Shuts, tablewire.Shut{Replica: r, Out: true})
+			h.shut[r] = true
 		}
 	}
 	if h.table != nil {
--- a/channel/channel_test.go
+++ b/channel/channel_test.go
@@ -218,6 +218,13 @@
 	if len(made) != 1 || made[0].to != one || len(made[0].m.Shuts) != 1 || !made[0].m.Shuts[0].Out {
 		t.Fatalf("a line to a replica that is out: %+v", made[0].m)
 	}
+	// Taken off and let back in while it was off the table: the line that comes back must not stay shut.
+	b.apply(&Batch{Receipt: -1, Orders: []Order{line(9, 0), shut(9, false)}})
+	made = b.apply(&Batch{Receipt: -1, Orders: []Order{line(9, 1)}})
+	if len(made) != 1 || len(made[0].m.Shuts) != 1 || made[0].m.Shuts[0].Out {
+		t.Fatalf("a line that comes back: %+v", made[0].m)
+	}
+	b.apply(&Batch{Receipt: -1, Orders: []Order{shut(9, true)}})
 	made = b.apply(&Batch{Receipt: 5, All: true, Orders: []Order{shut(9, false)}})
 	if len(made) != 2 || len(b.snapshot(one).Shuts) != 0 || made[1].m.Receipt != 5 {
 		t.Fatalf("back in: %+v", made)
--- /dev/null
+++ b/decide/rules_test.go
@@ -0,0 +1,397 @@
+package decide
+
+import (
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"peppervale/fleet"
+)
+
+// world is a fleet by chance with a channel of a pace: it carries a governor's orders to proxies late, acknowledges
+// them, and judges by what proxies hold. It knows nothing of the governor but its orders.
+type world struct {
+	t        *rapid.T
+	terms    fleet.Terms
+	g        *Governor
+	now      fleet.Micros
+	grace    fleet.Micros
+	bare     fleet.Micros
+	pace     float64 // lines a second, as it is now
+	late     fleet.Micros
+	free     fleet.Micros
+	queue    []*parcel
+	flying   []*parcel
+	replicas map[fleet.ReplicaID]*worldReplica
+	proxies  map[fleet.ProxyID]*worldProxy
+	tables   map[fleet.TableID]map[fleet.ReplicaID]float64
+	users    map[fleet.TableID]map[fleet.ProxyID]bool
+	out      map[fleet.ReplicaID]bool
+	levels   int
+	draft    map[fleet.ProxyID]*parcel
+	stretch  float64 // the channel's slowest against its pace: limits of time grow alike
+}
+
+type worldReplica struct {
+	zone  int
+	life  fleet.Life
+	told  fleet.Micros // of its drain or end; -1: it is ready
+	since fleet.Micros
+}
+
+type worldProxy struct {
+	zone     int
+	joined   bool
+	joinedAt fleet.Micros
+	stream   int
+	lines    map[fleet.ReplicaID]float64
+	out      map[fleet.ReplicaID]bool
+	bareFrom fleet.Micros
+	table    fleet.TableID
+	bound    bool // by the governor's orders
+}
+
+// parcel is a message: what it does to its proxy once it arrives.
+type parcel struct {
+	to      fleet.ProxyID
+	stream  int
+	cost    int
+	do      []func(*worldProxy)
+	receipt int
+	leaves  fleet.Micros
+	lands   fleet.Micros
+}
+
+func (w *world) to(p fleet.ProxyID) *parcel {
+	if w.draft[p] == nil {
+		w.draft[p] = &parcel{to: p, stream: w.proxies[p].stream, cost: w.terms.Overhead, receipt: -1}
+	}
+	return w.draft[p]
+}
+
+func (w *world) Assign(t fleet.TableID, r fleet.ReplicaID, weight float64) {
+	if w.tables[t] == nil {
+		w.tables[t] = map[fleet.ReplicaID]float64{}
+	}
+	_, had := w.tables[t][r]
+	if w.tables[t][r] = weight; weight == 0 {
+		delete(w.tables[t], r)
+	}
+	out := w.out[r]
+	for p := range w.users[t] {
+		m := w.to(p)
+		m.cost++
+		m.do = append(m.do, func(x *worldProxy) {
+			if x.lines[r] = weight; !had { // a line laid anew is as withdrawn as its replica is by then
+				x.out[r] = out
+			}
+		})
+	}
+}
+
+func (w *world) Bind(p fleet.ProxyID, t fleet.TableID) {
+	x := w.proxies[p]
+	if x == nil || !x.joined {
+		w.t.Fatalf("a bind for proxy %d, which is not joined", p)
+	}
+	if x.bound {
+		w.t.Fatalf("proxy %d is bound twice in one stream", p)
+	}
+	x.bound, x.table = true, t
+	if w.users[t] == nil {
+		w.users[t] = map[fleet.ProxyID]bool{}
+	}
+	w.users[t][p] = true
+	m := w.to(p)
+	// Lines that follow in the same reply come with it.
+	m.cost += 1 + len(w.tables[t]) + w.levels + len(w.out)
+	m.do = append(m.do, func(x *worldProxy) {
+		clear(x.lines)
+		clear(x.out)
+		for r, weight := range w.tables[t] {
+			x.lines[r] = weight
+		}
+		for r := range w.out {
+			x.out[r] = true
+		}
+	})
+}
+
+func (w *world) Withdraw(r fleet.ReplicaID, out bool) {
+	if w.out[r] = out; !out {
+		delete(w.out, r)
+	}
+	for p, x := range w.proxies {
+		if _, holds := w.tables[x.table][r]; x.joined && (!x.bound || holds) {
+			m := w.to(p)
+			m.cost++
+			m.do = append(m.do, func(x *worldProxy) { x.out[r] = out })
+		}
+	}
+}
+
+func (w *world) Level(_ uint16, _ float64, way fleet.Way) {
+	if way > fleet.WhenUnrun {
+		w.t.Fatalf("way %d repeats what may have run", way)
+	}
+	w.levels = len(w.terms.Operations)
+	for p, x := range w.proxies {
+		if x.joined {
+			w.to(p).cost++
+		}
+	}
+}
+
+func (w *world) Receipt(number uint32, all bool) {
+	for p, x := range w.proxies {
+		if all && x.joined {
+			w.to(p)
+		}
+	}
+	for _, m := range w.draft {
+		m.receipt = int(number)
+		m.cost++
+	}
+}
+
+func (w *world) Wake(fleet.Micros) {}
+func (w *world) Follow()           {}
+func (w *world) Log(string)        {}
+
+// settle has the governor settle and queues what it ordered, in the proxies' order.
+func (w *world) settle() {
+	w.g.Settle(w.now)
+	ids := make([]fleet.ProxyID, 0, len(w.draft))
+	for p := range w.draft {
+		ids = append(ids, p)
+	}
+	slices.Sort(ids)
+	waiting := 0
+	for _, m := range w.queue {
+		waiting += m.cost
+	}
+	for _, p := range ids {
+		m := w.draft[p]
+		w.free = max(w.free, w.now) + fleet.Micros(float64(m.cost)/w.pace*float64(fleet.Second))
+		m.leaves = w.free
+		w.queue = append(w.queue, m)
+		waiting += m.cost
+	}
+	clear(w.draft)
+	if waiting > w.terms.QueueMost {
+		w.t.Fatalf("short queue: %d lines wait, %d are allowed", waiting, w.terms.QueueMost)
+	}
+}
+
+// pass lets time pass up to a moment: messages leave, land, are applied and acknowledged.
+func (w *world) pass(to fleet.Micros) {
+	for {
+		var next *parcel
+		at, flies := to, false
+		if len(w.queue) > 0 && w.queue[0].leaves <= at {
+			next, at = w.queue[0], w.queue[0].leaves
+		}
+		if len(w.flying) > 0 && w.flying[0].lands <= at {
+			next, at, flies = w.flying[0], w.flying[0].lands, true
+		}
+		if next == nil {
+			w.now = to
+			return
+		}
+		w.now = at
+		if !flies {
+			w.queue = w.queue[1:]
+			next.lands = at + w.late
+			w.flying = append(w.flying, next)
+			continue
+		}
+		w.flying = w.flying[1:]
+		x := w.proxies[next.to]
+		if x == nil || !x.joined || x.stream != next.stream {
+			continue
+		}
+		for _, do := range next.do {
+			do(x)
+		}
+		w.judge()
+		if next.receipt >= 0 {
+			w.g.Applied(w.now, next.to, uint32(next.receipt))
+		}
+	}
+}
+
+// judge looks at what each joined proxy holds now.
+func (w *world) judge() {
+	warm := false
+	for _, r := range w.replicas {
+		warm = warm || r.life == fleet.Ready && w.now-r.since >= w.terms.Cold
+	}
+	slack := func(limit fleet.Micros) fleet.Micros { return fleet.Micros(float64(limit) * w.stretch) }
+	for id, x := range w.proxies {
+		if !x.joined {
+			continue
+		}
+		bare := true
+		for r, weight := range x.lines {
+			if weight == 0 || x.out[r] {
+				continue
+			}
+			bare = false
+			if told := w.replicas[r].told; told >= 0 && w.now-max(told, x.joinedAt) > slack(w.grace) {
+				w.t.Fatalf("drain: proxy %d holds %v %d us after the governor was told", id, r, w.now-max(told, x.joinedAt))
+			}
+		}
+		switch {
+		case !bare || !warm:
+			x.bareFrom = -1
+		case x.bareFrom < 0:
+			x.bareFrom = w.now
+		case w.now-x.bareFrom > slack(w.bare):
+			w.t.Fatalf("lost: proxy %d has no line for %d us", id, w.now-x.bareFrom)
+		}
+	}
+}
+
+// join gives a proxy a stream; a fresh one holds a standing table of its zone's replicas.
+func (w *world) join(id fleet.ProxyID, zone int, fresh bool) {
+	x := w.proxies[id]
+	if x == nil || fresh {
+		x = &worldProxy{zone: zone, lines: map[fleet.ReplicaID]float64{}, out: map[fleet.ReplicaID]bool{}, bareFrom: -1}
+		for pass := range 2 {
+			for n := 1; n <= len(w.replicas) && len(x.lines) < w.terms.StandingSize; n++ {
+				if r := w.replicas[id2(n)]; r.life == fleet.Ready && (pass == 1 || r.zone == zone) && len(x.lines) < 3+pass*3 {
+					x.lines[id2(n)] = 1
+				}
+			}
+		}
+		w.proxies[id] = x
+	}
+	w.part(id)
+	x.joined, x.joinedAt, x.bound, x.bareFrom = true, w.now, false, -1
+	x.stream++
+	w.g.Joined(w.now, id, x.zone, 5)
+}
+
+// part ends a proxy's stream: what waits or flies for it is lost.
+func (w *world) part(id fleet.ProxyID) {
+	x := w.proxies[id]
+	if x == nil || !x.joined {
+		return
+	}
+	x.joined = false
+	for _, users := range w.users {
+		delete(users, id)
+	}
+	lost := func(m *parcel) bool { return m.to == id }
+	w.queue = slices.DeleteFunc(w.queue, lost)
+	w.flying = slices.DeleteFunc(w.flying, lost)
+	w.g.Left(w.now, id)
+}
+
+func id2(n int) fleet.ReplicaID {
+	return fleet.ReplicaID{Addr: [4]byte{10, 0, byte(n / 250), byte(n % 250)}, Port: 5000}
+}
+
+func (w *world) list(scope fleet.Scope, numbers ...int) {
+	var entries []fleet.Listing
+	for _, n := range numbers {
+		r := w.replicas[id2(n)]
+		entries = append(entries, fleet.Listing{ID: id2(n), Zone: r.zone, Life: r.life, Since: r.since})
+		if r.life == fleet.Ready {
+			r.told = -1
+		} else if r.told < 0 {
+			r.told = w.now
+		}
+	}
+	w.g.Listed(w.now, scope, entries)
+}
+
+// Any fleet, any course of drains, losses, starts, streams that break and come back, late and missing receipts and sums:
+// what proxies hold keeps the rules, within bounds that follow from the start settings.
+func TestRulesOfAnyFleet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		zones := rapid.IntRange(1, 3).Draw(t, "zones")
+		n := rapid.IntRange(4, 24).Draw(t, "replicas")
+		p := rapid.IntRange(2, 60).Draw(t, "proxies")
+		w := &world{t: t, now: 100 * fleet.Second, stretch: 1, replicas: map[fleet.ReplicaID]*worldReplica{}, proxies: map[fleet.ProxyID]*worldProxy{},
+			tables: map[fleet.TableID]map[fleet.ReplicaID]float64{}, users: map[fleet.TableID]map[fleet.ProxyID]bool{}, out: map[fleet.ReplicaID]bool{}, draft: map[fleet.ProxyID]*parcel{}}
+		w.late = fleet.Micros(rapid.IntRange(1, 300).Draw(t, "late")) * fleet.Millisecond
+		// What can't be put off fits twice, with all proxies on this governor: the limits are set so for each day.
+		w.pace = float64(p*(9+n)) * rapid.Float64Range(1, 4).Draw(t, "pace")
+		w.terms = fleet.Terms{Seed: rapid.Uint64().Draw(t, "seed"), Operations: []fleet.Operation{{Objective: 500_000, Value: 1}, {Objective: 750_000, Value: 3}},
+			Zones: zones, Subscribe: true, Admits: rapid.Bool().Draw(t, "admits"), AdmitAll: 1, Avoids: rapid.Bool().Draw(t, "avoids"), StandingSize: 6,
+			Period: fleet.Micros(rapid.IntRange(1, 3).Draw(t, "period")) * fleet.Second, Overhead: rapid.IntRange(0, 8).Draw(t, "overhead"), QueueMost: int(2 * w.pace), CrossPrice: 0.05, BusyField: -1,
+			Cold: 10 * fleet.Second, Proxies: p, ConnsLeast: 200}
+		// A message waits for the whole queue, flies, and the governor looks up five times a second; binds take a queue too.
+		beat := w.terms.Period / 5
+		w.grace, w.bare = 3*fleet.Second+w.late+2*beat, 4*fleet.Second+w.late+2*beat
+		var all []int
+		for k := range n {
+			w.replicas[id2(k+1)] = &worldReplica{zone: k % zones, life: fleet.Ready, told: -1}
+			all = append(all, k+1)
+		}
+		w.g = New(w.terms, w, w.now)
+		w.list(fleet.Cached, all...)
+		for k := range p {
+			w.join(fleet.ProxyID(k), k%zones, true)
+		}
+		w.settle()
+		some := func(most int, name string) (ones []int) {
+			for range rapid.IntRange(1, most).Draw(t, name) {
+				ones = append(ones, rapid.IntRange(1, n).Draw(t, "replica"))
+			}
+			slices.Sort(ones)
+			return slices.Compact(ones)
+		}
+		for k := range 75 {
+			w.pass(100*fleet.Second + fleet.Micros(k+1)*beat)
+			switch rapid.IntRange(0, 19).Draw(t, "event") {
+			case 0:
+				ones := some(1+n/3, "drains")
+				for _, k := range ones {
+					w.replicas[id2(k)].life = fleet.Draining
+				}
+				w.list(fleet.Change, ones...)
+			case 1:
+				ones := some(1+n/4, "gone")
+				for _, k := range ones {
+					w.replicas[id2(k)].life = fleet.Gone
+				}
+				w.list(fleet.Change, ones...)
+			case 2:
+				ones := some(1+n/4, "start")
+				for _, k := range ones {
+					if r := w.replicas[id2(k)]; r.life != fleet.Ready {
+						r.life, r.since = fleet.Ready, w.now
+					}
+				}
+				w.list(fleet.Change, ones...)
+			case 3:
+				for range rapid.IntRange(1, 1+p/2).Draw(t, "breaks") {
+					w.part(fleet.ProxyID(rapid.IntRange(0, p-1).Draw(t, "proxy")))
+				}
+			case 4, 5:
+				for id, k := fleet.ProxyID(0), rapid.IntRange(0, p-1).Draw(t, "come back"); int(id) < p && k >= 0; id++ {
+					if x := w.proxies[id]; !x.joined {
+						w.join(id, x.zone, rapid.Bool().Draw(t, "fresh"))
+						k--
+					}
+				}
+			case 6:
+				w.g.Listed(w.now, fleet.Failed, nil)
+			}
+			if k%5 == 0 && rapid.IntRange(0, 4).Draw(t, "sums") > 0 {
+				for _, k := range all {
+					if w.replicas[id2(k)].life == fleet.Ready {
+						w.g.Heard(w.now, fleet.Sum{Replica: id2(k), Tries: 10, Errored: rapid.IntRange(0, 1).Draw(t, "errors"),
+							Latency: fleet.Micros(rapid.IntRange(50, 300).Draw(t, "latency")) * fleet.Millisecond, Span: fleet.Second})
+					}
+				}
+			}
+		w.g.Rang(w.now)
+			w.settle()
+			w.judge()
+		}
+	})
+}
--- a/sockets/sockets.go
+++ b/sockets/sockets.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/lesismal/nbio"
@@ -29,7 +30,7 @@
 // Start makes and starts an engine; with no address it only dials. Errors are those of the addresses.
 func Start(pollers int, h Handlers, addresses ...string) (*nbio.Engine, error) {
 	quiet()
-	e := nbio.NewEngine(nbio.Config{Network: "tcp", Addrs: addresses, NPoller: pollers})
+	e := nbio.NewEngine(nbio.Config{Network: "tcp", Addrs: addresses, NPoller: pollers, Listen: listen})
 	if h.Open != nil {
 		e.OnOpen(func(c *nbio.Conn) {
 			h.Open(c)
@@ -51,6 +52,45 @@
 	return e, e.Start()
 }
 
+// own makes a connection nbio's. nbio duplicates its descriptor without close-on-exec: a child process started
+// meanwhile would keep the connection open, and the poller would go on telling its end under a number that another
+// connection has by then (seen: governors restarted by a day broke hundreds of streams that had nothing to do with
+// them). So the flag is set before anything can be forked.
+func own(conn net.Conn) (*nbio.Conn, error) {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	c, err := nbio.NBConn(conn)
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	syscall.CloseOnExec(c.Hash()) // on unix the hash is the descriptor
+	return c, nil
+}
+
+// listener hands nbio connections that own has made.
+type listener struct{ net.Listener }
+
+func (l listener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c, err := own(conn); err == nil {
+			return c, nil
+		}
+	}
+}
+
+func listen(network, address string) (net.Listener, error) {
+	l, err := net.Listen(network, address)
+	if err != nil {
+		return nil, err
+	}
+	return listener{l}, nil
+}
+
 // dialling bounds the dials in work of a process.
 var dialling = make(chan struct{}, 256)
 
@@ -65,7 +105,7 @@
 			done(nil, err)
 			return
 		}
-		c, err := nbio.NBConn(conn) // closes conn: it has a descriptor of its own
+		c, err := own(conn)
 		if err == nil {
 			c.SetSession(session)
 			fence.Add(1)
--- a/stand/forwarder/forwarder.go
+++ b/stand/forwarder/forwarder.go
@@ -57,7 +57,7 @@
 // Disobey is what a script makes it do wrong.
 type Disobey struct {
 	NeverAcks       bool
-	IgnoresShuts    bool // goes on sending to withdrawn replicas
+	IgnoresShuts    bool // goes on sending to what is withdrawn or taken off its table
 	RepeatsAnything bool // tries again after any failure, whatever is ordered
 }
 
@@ -331,7 +331,7 @@
 		switch {
 		case i >= 0 && n.Weight > 0:
 			f.lines[i].weight = n.Weight
-		case i >= 0:
+		case i >= 0 && !f.Disobey.IgnoresShuts:
 			f.lines = slices.Delete(f.lines, i, i+1)
 		case n.Weight > 0:
 			f.lines = append(f.lines, &line{id: n.Replica, weight: n.Weight})
