--- a/decide/state.go
+++ b/decide/state.go
@@ -217,3 +217,92 @@
 	}
 	p.unacked = p.unacked[n:]
 }
+
+// View is what a governor believes, copied: nothing in it is written again.
+type View struct {
+	Open                bool              // the gate
+	Waits               []fleet.ReplicaID // listed, and not named in a report yet
+	Stress, Pace, Colds float64           // see learn
+	Unacked             int               // lines
+	Shares              []float64         // let in, by operation
+	Way                 fleet.Way
+	Replicas            []ReplicaView
+	Tables              []TableView
+	Proxies             []ProxyView // in the order joined
+}
+
+// ReplicaView is what is believed of a replica.
+type ReplicaView struct {
+	ID                     fleet.ReplicaID
+	Zone                   int
+	State                  string // away, draining, easing, serving or resting
+	Out                    bool   // its withdrawal was sent
+	Cold                   bool
+	OutAt, HeardAt, BusyAt fleet.Micros // 0: never
+	Since, EasedAt         fleet.Micros
+	Busy, Pace             float64 // share of its cores; time of good tries over the objective
+	Part                   float64 // of its full weight
+	Rate, Errors           float64 // tries a second and share of errors, over about ten reports
+	Lines, Rests           int
+}
+
+// TableView is a shared table.
+type TableView struct {
+	ID    fleet.TableID
+	Zone  int
+	Usual float64
+	Users int
+	Lines []LineView
+}
+
+// LineView is a line as it was ordered.
+type LineView struct {
+	Replica fleet.ReplicaID
+	Weight  float64
+}
+
+// ProxyView is a joined proxy; Table is -1 while it is on tables of its own.
+type ProxyView struct {
+	ID      fleet.ProxyID
+	Zone    int
+	Usual   float64
+	Table   int
+	Unacked int // messages
+	Oldest  fleet.Micros
+}
+
+var stateNames = map[state]string{away: "away", draining: "draining", easing: "easing", serving: "serving", resting: "resting"}
+
+// View copies what is believed now; it is linear in the fleet.
+func (g *Governor) View() *View {
+	v := &View{Open: g.gate == open, Stress: g.stress, Pace: g.pace, Colds: g.colds, Unacked: g.unacked,
+		Shares: slices.Clone(g.shares), Way: g.way, Replicas: make([]ReplicaView, 0, len(g.replicas)),
+		Tables: make([]TableView, 0, len(g.tables)), Proxies: make([]ProxyView, 0, len(g.proxies))}
+	for _, r := range g.replicas {
+		if r.member() && !r.heard {
+			v.Waits = append(v.Waits, r.id)
+		}
+		v.Replicas = append(v.Replicas, ReplicaView{ID: r.id, Zone: r.zone, State: stateNames[r.state], Out: r.told, Cold: g.cold(r),
+			OutAt: r.toldAt, HeardAt: r.heardAt, BusyAt: r.busyAt, Since: r.since, EasedAt: r.easedAt, Busy: r.busy, Pace: r.pace,
+			Part: g.part(r), Rate: r.all.tries / max(r.all.span, 1) * float64(fleet.Second), Errors: r.all.errored / max(r.all.tries, 1),
+			Lines: len(r.lines), Rests: r.rests})
+	}
+	for _, t := range g.tables {
+		tv := TableView{ID: t.id, Zone: t.zone, Usual: t.usual, Users: len(t.users)}
+		for _, l := range t.lines {
+			tv.Lines = append(tv.Lines, LineView{l.r.id, l.weight})
+		}
+		v.Tables = append(v.Tables, tv)
+	}
+	for _, p := range g.proxies {
+		pv := ProxyView{ID: p.id, Zone: p.zone, Usual: p.usual, Table: -1, Unacked: len(p.unacked)}
+		if p.table != nil {
+			pv.Table = int(p.table.id)
+		}
+		if len(p.unacked) > 0 {
+			pv.Oldest = p.unacked[0].at
+		}
+		v.Proxies = append(v.Proxies, pv)
+	}
+	return v
+}
--- /dev/null
+++ b/governor/causes.go
@@ -0,0 +1,132 @@
+package governor
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+
+	"peppervale/channel"
+	"peppervale/fleet"
+	"peppervale/tablewire"
+)
+
+// Cause is one step that ordered something or changed what is believed: what came in, what the module said of it,
+// and what it ordered. Together they answer why a forwarder has no line to a replica.
+type Cause struct {
+	At     fleet.Micros
+	Number uint64   // of the steps that are kept, from 1
+	Came   []string // inputs of the step: joins, leaves, the list, the timer, sums and receipts counted
+	Said   []string // the module's own words: which replica moved to which state on which input
+	Orders []string
+	Cut    int // orders beyond those kept
+}
+
+// Names tells whether a word stands in any part of a cause.
+func (c *Cause) Names(word string) bool {
+	for _, part := range [][]string{c.Came, c.Said, c.Orders} {
+		for _, text := range part {
+			if strings.Contains(text, word) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// causesMost bounds the ring: at five solves a second, with a few steps each, about an hour of a calm fleet. ordersMost
+// bounds one entry: the first order of a table of hundreds says what the rest do.
+const (
+	causesMost = 16384
+	ordersMost = 64
+	inputsMost = 16
+)
+
+var scopeNames = map[fleet.Scope]string{fleet.Whole: "whole", fleet.Change: "change", fleet.Cached: "cached", fleet.Failed: "failed"}
+
+// causes is a ring; the host's goroutine writes, anybody reads.
+type causes struct {
+	came, said     []string
+	receipts, sums int
+	timer          bool
+	inputs         int
+
+	mu     sync.Mutex
+	ring   []Cause
+	next   int
+	number uint64
+}
+
+func newCauses() *causes { return &causes{} }
+
+// input notes an input of the step that is being taken.
+func (c *causes) input(format string, args ...any) {
+	if c.inputs++; c.inputs <= inputsMost {
+		c.came = append(c.came, fmt.Sprintf(format, args...))
+	}
+}
+
+// step closes a step. One that neither said nor ordered anything is not kept.
+func (c *causes) step(now fleet.Micros, b *channel.Batch) {
+	one := Cause{At: now, Came: c.came, Said: c.said}
+	if c.inputs > inputsMost {
+		one.Came = append(one.Came, fmt.Sprintf("and %d more", c.inputs-inputsMost))
+	}
+	if c.sums > 0 {
+		one.Came = append(one.Came, fmt.Sprintf("%d sums", c.sums))
+	}
+	if c.receipts > 0 {
+		one.Came = append(one.Came, fmt.Sprintf("%d receipts", c.receipts))
+	}
+	if c.timer {
+		one.Came = append(one.Came, "timer")
+	}
+	c.came, c.said, c.receipts, c.sums, c.timer, c.inputs = nil, nil, 0, 0, false, 0
+	if len(one.Said) == 0 && len(b.Orders) == 0 {
+		return
+	}
+	for _, o := range b.Orders[:min(len(b.Orders), ordersMost)] {
+		one.Orders = append(one.Orders, describe(o))
+	}
+	one.Cut = len(b.Orders) - len(one.Orders)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.number++
+	one.Number = c.number
+	if len(c.ring) < causesMost {
+		c.ring = append(c.ring, one)
+		return
+	}
+	c.ring[c.next] = one
+	c.next = (c.next + 1) % causesMost
+}
+
+func describe(o channel.Order) string {
+	r := tablewire.Address(o.Replica)
+	switch o.What {
+	case channel.Assign:
+		return fmt.Sprintf("table %d: %s weighs %.4g", o.Table, r, o.Weight)
+	case channel.Bind:
+		return fmt.Sprintf("forwarder %d on table %d", o.Proxy, o.Table)
+	case channel.Withdraw:
+		if o.Out {
+			return "withdraw " + r
+		}
+		return "let back " + r
+	}
+	return fmt.Sprintf("level of operations %#b: share %.3g, way %d", o.Level.Operations, o.Level.Share, o.Level.Way)
+}
+
+func (c *causes) find(most int, match func(*Cause) bool) (found []Cause) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := range c.ring {
+		// From the newest back: the one before next, around the ring.
+		one := &c.ring[(c.next-1-i+2*len(c.ring))%len(c.ring)]
+		if match == nil || match(one) {
+			if found = append(found, *one); len(found) == most {
+				break
+			}
+		}
+	}
+	return found
+}
--- a/governor/governor.go
+++ b/governor/governor.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"sync/atomic"
 	"time"
 
@@ -42,9 +43,13 @@
 	open    bool
 	list    map[fleet.ReplicaID]fleet.Listing
 	listed  fleet.Micros
-	known   map[fleet.ProxyID]bool
+	known   map[fleet.ProxyID]Forwarder
 	worst   fleet.Micros
 	steps   uint64
+	causes  *causes
+	wanted  atomic.Int64 // when somebody last looked, by the clock
+	lookAt  fleet.Micros // when the module was last copied
+	look    *Look
 }
 
 // View is what a governor believes after a step. It is never written again.
@@ -59,8 +64,33 @@
 	WorstStep fleet.Micros // the longest that a step took
 	Waiting   int          // sums that wait for their turn
 	Folds     uint64       // sums that were folded because the module took no more
+	Look      *Look        // nil, or old, while nobody looks
 }
 
+// Look is the whole of what a governor believes, copied while somebody looks.
+type Look struct {
+	At         fleet.Micros
+	Module     *decide.View
+	Forwarders map[fleet.ProxyID]Forwarder
+	List       map[fleet.ReplicaID]fleet.Listing
+}
+
+// Forwarder is what a joined one said of itself.
+type Forwarder struct {
+	Name     string
+	Zone     int
+	Rate     float64
+	Fresh    bool
+	JoinedAt fleet.Micros
+}
+
+// A look costs a copy of the fleet, so it is taken at most each lookEvery, and only within lookFor of somebody's asking: a
+// console of 200 viewers costs no more than one.
+const (
+	lookEvery = 200 * fleet.Millisecond
+	lookFor   = 5 * fleet.Second
+)
+
 // Clock gives a monotonic clock in microseconds since 1970, by the wall's time at this call.
 func Clock() func() fleet.Micros {
 	start := time.Now()
@@ -72,7 +102,7 @@
 func New(terms fleet.Terms, intake int, now func() fleet.Micros, log zerolog.Logger) *Host {
 	return &Host{mailbox: newMailbox(), terms: terms, intake: intake, now: now, log: log,
 		stop: make(chan struct{}), stopped: make(chan struct{}), list: map[fleet.ReplicaID]fleet.Listing{},
-		known: map[fleet.ProxyID]bool{}}
+		known: map[fleet.ProxyID]Forwarder{}, causes: newCauses()}
 }
 
 // Run starts the module on what was last known of the list (nil: nothing) and goes on until Stop.
@@ -116,6 +146,15 @@
 // View is the newest view; nil before the first step.
 func (h *Host) View() *View { return h.view.Load() }
 
+// Watch asks that views carry a Look from the next step on, for a while, and gives the newest view.
+func (h *Host) Watch() *View {
+	h.wanted.Store(int64(h.now()))
+	return h.view.Load()
+}
+
+// Causes gives the newest entries of the journal of causes that match, newest first, most at most.
+func (h *Host) Causes(most int, match func(*Cause) bool) []Cause { return h.causes.find(most, match) }
+
 func (h *Host) step() {
 	now := h.now()
 	h.budget = min(h.budget+float64(now-h.filled)/float64(fleet.Second)*float64(h.intake), float64(h.intake))
@@ -124,6 +163,7 @@
 	h.budget -= float64(len(t.sums))
 	h.take(now, t)
 	if now >= h.wakeAt {
+		h.causes.timer = true
 		h.module.Rang(now)
 	}
 	h.settle(now)
@@ -131,27 +171,32 @@
 
 func (h *Host) take(now fleet.Micros, t taken) {
 	if t.list != nil {
+		h.causes.input("list %s of %d", scopeNames[t.list.scope], len(t.list.entries))
 		h.module.Listed(now, t.list.scope, t.list.entries)
 		h.keepList(now, t.list)
 	}
 	for i := range t.slots {
 		s := &t.slots[i]
-		if s.left && h.known[s.proxy] {
+		if _, known := h.known[s.proxy]; s.left && known {
 			h.module.Left(now, s.proxy)
+			h.causes.input("left %s", h.known[s.proxy].Name)
 			delete(h.known, s.proxy)
 		}
 		if s.joined {
 			h.channel.Admit(s.proxy, s.stream)
 			h.module.Joined(now, s.proxy, s.zone, s.join.Rate)
-			h.known[s.proxy] = true
+			h.known[s.proxy] = Forwarder{s.join.Name, s.zone, s.join.Rate, s.join.Fresh, now}
+			h.causes.input("joined %s", s.join.Name)
 		}
-		if s.receipt >= 0 && h.known[s.proxy] {
+		if _, known := h.known[s.proxy]; s.receipt >= 0 && known {
+			h.causes.receipts++
 			h.module.Applied(now, s.proxy, uint32(s.receipt))
 		}
 	}
 	for _, s := range t.sums {
 		h.module.Heard(now, s)
 	}
+	h.causes.sums += len(t.sums)
 }
 
 func (h *Host) keepList(now fleet.Micros, n *news) {
@@ -175,6 +220,7 @@
 		h.batch.At = now
 		h.channel.Publish(h.batch)
 	}
+	h.causes.step(now, h.batch)
 	h.batch = &channel.Batch{Receipt: -1}
 	h.steps++
 	h.worst = max(h.worst, h.now()-now)
@@ -187,6 +233,11 @@
 	h.mailbox.mu.Lock()
 	v.Waiting, v.Folds = len(h.mailbox.turn), h.mailbox.folds
 	h.mailbox.mu.Unlock()
+	if now-fleet.Micros(h.wanted.Load()) < lookFor && now-h.lookAt >= lookEvery {
+		h.lookAt = now
+		h.look = &Look{At: now, Module: h.module.View(), Forwarders: maps.Clone(h.known), List: maps.Clone(h.list)}
+	}
+	v.Look = h.look
 	h.view.Store(v)
 }
 
@@ -228,6 +279,7 @@
 	if text == "gate open" {
 		h.open = true
 	}
+	h.causes.said = append(h.causes.said, text)
 	h.log.Info().Str("from", "decide").Msg(text)
 }
 
