The console: every governor's beliefs, published tables and causes, as pages and JSON

Need: whoever is on duty when a hall vanishes must see what each governor believes without logging into a box.

--- a/channel/server.go
+++ b/channel/server.go
@@ -51,11 +51,19 @@
 
 // Stats are figures since the start, and of now.
 type Stats struct {
-	Forwarders, Observers, Connections int
-	Version                            uint64
-	Queue, QueueMost                   int // lines
-	Messages, Lines, Bytes             uint64
-	Folds, Resyncs, Faults, Replaced   uint64
+	Forwarders  int    `json:"forwarders"`
+	Observers   int    `json:"observers"`
+	Connections int    `json:"connections"`
+	Version     uint64 `json:"version"`
+	Queue       int    `json:"queue_lines"`
+	QueueMost   int    `json:"queue_most_lines"`
+	Messages    uint64 `json:"messages"`
+	Lines       uint64 `json:"lines"`
+	Bytes       uint64 `json:"bytes"`
+	Folds       uint64 `json:"snapshot_folds"`
+	Resyncs     uint64 `json:"resyncs"`
+	Faults      uint64 `json:"faults"`
+	Replaced    uint64 `json:"replaced"`
 }
 
 // Server is a governor's channel. Make it with Listen.
--- a/command/command.go
+++ b/command/command.go
@@ -14,6 +14,7 @@
 
 	"github.com/rs/zerolog"
 
+	"peppervale/daemon"
 	"peppervale/day"
 	"peppervale/governor"
 	"peppervale/measure"
@@ -58,7 +59,7 @@
 		return fmt.Errorf("%w: %w", ErrInput, err)
 	}
 	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
-	return governor.Serve(ctx, g, zerolog.New(out).Level(level).With().Timestamp().Logger())
+	return daemon.Serve(ctx, g, zerolog.New(out).Level(level).With().Timestamp().Logger())
 }
 
 // Check is peppervale check.
--- /dev/null
+++ b/console/body.go
@@ -0,0 +1,357 @@
+package console
+
+import (
+	"cmp"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+
+	"peppervale/decide"
+	"peppervale/fleet"
+	"peppervale/governor"
+	"peppervale/tablewire"
+)
+
+// overview is the first page: is all well, and if not, where to look.
+type overview struct {
+	Gate      string         `json:"gate"`
+	Waits     []string       `json:"gate_waits_for"`
+	States    map[string]int `json:"replicas_by_state"`
+	Ready     int            `json:"listed_ready"`
+	Bound     int            `json:"forwarders_bound"`
+	Joined    int            `json:"forwarders_joined"`
+	List      string         `json:"list_age"`
+	Stress    float64        `json:"stress"`
+	Pace      float64        `json:"pace"`
+	Levels    []level        `json:"levels"`
+	Queue     int            `json:"queue_lines"`
+	QueueMost int            `json:"queue_limit"`
+	Unacked   int            `json:"unacknowledged_lines"`
+	Worst     int64          `json:"worst_step_us"`
+	Folds     uint64         `json:"sums_folded"`
+	Sick      []replicaRow   `json:"not_serving"`
+	Lately    []causeRow     `json:"lately"`
+}
+
+type level struct {
+	Operation string  `json:"operation"`
+	Share     float64 `json:"share"`
+}
+
+var ways = []string{"never", "when unrun", "after any failure", "twice after any failure"}
+
+func (s *Server) overview(p *page, rest string, _ *http.Request) (any, error) {
+	if rest != "" {
+		return nil, errNone
+	}
+	m := p.View.Look.Module
+	o := overview{Gate: "shut", States: map[string]int{}, Ready: p.View.Ready, Joined: len(m.Proxies), List: ago(p.Now, p.View.ListAt), Stress: m.Stress, Pace: m.Pace,
+		Queue: p.Stats.Queue, QueueMost: s.about.QueueMost, Unacked: m.Unacked, Worst: int64(p.View.WorstStep), Folds: p.View.Folds}
+	if m.Open {
+		o.Gate = "open"
+	} else {
+		for _, id := range m.Waits[:min(len(m.Waits), 50)] {
+			o.Waits = append(o.Waits, tablewire.Address(id))
+		}
+	}
+	for i, share := range m.Shares {
+		if i < len(s.about.Operations) {
+			o.Levels = append(o.Levels, level{s.about.Operations[i], share})
+		}
+	}
+	for _, x := range m.Proxies {
+		if x.Table >= 0 {
+			o.Bound++
+		}
+	}
+	for i := range m.Replicas {
+		r := &m.Replicas[i]
+		if o.States[r.State]++; r.State != "serving" && r.State != "away" && len(o.Sick) < 50 {
+			o.Sick = append(o.Sick, s.row(p, r))
+		}
+	}
+	o.Lately = s.causeRows(p, s.from.Causes(12, func(c *governor.Cause) bool { return len(c.Said) > 0 }))
+	return o, nil
+}
+
+// replicaRow is a line of the list of replicas.
+type replicaRow struct {
+	Address string  `json:"address"`
+	Zone    string  `json:"zone"`
+	Listed  string  `json:"listed"`
+	State   string  `json:"state"`
+	Out     bool    `json:"withdrawn"`
+	OutAgo  string  `json:"withdrawn_at,omitempty"`
+	Cold    bool    `json:"cold"`
+	Part    float64 `json:"part"`
+	Rate    float64 `json:"tries_a_second"`
+	Errors  float64 `json:"errors"`
+	Pace    float64 `json:"time_over_objective"`
+	Busy    float64 `json:"busy"`
+	Heard   string  `json:"heard"`
+	Report  string  `json:"load_report"`
+	Lines   int     `json:"lines"`
+	Rests   int     `json:"rests"`
+	Started string  `json:"started"`
+}
+
+var lives = map[fleet.Life]string{fleet.Ready: "ready", fleet.Draining: "draining", fleet.Gone: "gone"}
+
+func (s *Server) row(p *page, r *decide.ReplicaView) replicaRow {
+	row := replicaRow{Address: tablewire.Address(r.ID), Zone: s.zone(r.Zone), Listed: "not listed", State: r.State, Out: r.Out, Cold: r.Cold, Part: r.Part, Rate: r.Rate,
+		Errors: r.Errors, Pace: r.Pace, Busy: r.Busy, Heard: ago(p.Now, r.HeardAt), Report: ago(p.Now, r.BusyAt), Lines: r.Lines, Rests: r.Rests, Started: "long ago"}
+	if l, listed := p.View.Look.List[r.ID]; listed {
+		row.Listed = lives[l.Life]
+	}
+	if r.Out {
+		row.OutAgo = ago(p.Now, r.OutAt)
+	}
+	if r.Since > 0 {
+		row.Started = ago(p.Now, r.Since)
+	}
+	return row
+}
+
+// replicaPage is one replica: what is believed, its lines, and what was done about it.
+type replicaPage struct {
+	replicaRow
+	Tables []lineRow  `json:"tables"`
+	Causes []causeRow `json:"causes"`
+}
+
+type lineRow struct {
+	Table   int     `json:"table"`
+	Zone    string  `json:"zone"`
+	Replica string  `json:"replica"`
+	Weight  float64 `json:"weight"`
+	Share   float64 `json:"share"` // of the table's open lines
+	State   string  `json:"state"`
+	Out     bool    `json:"withdrawn"`
+}
+
+func (s *Server) replicas(p *page, rest string, _ *http.Request) (any, error) {
+	m := p.View.Look.Module
+	if rest == "" {
+		var rows []replicaRow
+		for i := range m.Replicas {
+			rows = append(rows, s.row(p, &m.Replicas[i]))
+		}
+		slices.SortFunc(rows, func(a, b replicaRow) int {
+			return cmp.Or(strings.Compare(a.Zone, b.Zone), strings.Compare(a.Address, b.Address))
+		})
+		return rows[:min(len(rows), rowsMost)], nil
+	}
+	for i := range m.Replicas {
+		if r := &m.Replicas[i]; tablewire.Address(r.ID) == rest {
+			p.Title, p.Kind = "Replica "+rest, "replica"
+			one := replicaPage{replicaRow: s.row(p, r)}
+			for _, t := range m.Tables {
+				for _, l := range s.lines(m, t) {
+					if l.Replica == rest {
+						one.Tables = append(one.Tables, l)
+					}
+				}
+			}
+			one.Causes = s.causeRows(p, s.from.Causes(50, func(c *governor.Cause) bool {
+				return c.Names(rest) || c.Names(fmt.Sprintf("%v:%d", r.ID.Addr, r.ID.Port))
+			}))
+			return one, nil
+		}
+	}
+	return nil, fmt.Errorf("replica %.60q: %w in this life", rest, errNone)
+}
+
+func (s *Server) lines(m *decide.View, t decide.TableView) (rows []lineRow) {
+	states := map[fleet.ReplicaID]*decide.ReplicaView{}
+	for i := range m.Replicas {
+		states[m.Replicas[i].ID] = &m.Replicas[i]
+	}
+	sum := 0.0
+	for _, l := range t.Lines {
+		row := lineRow{Table: int(t.ID), Zone: s.zone(t.Zone), Replica: tablewire.Address(l.Replica), Weight: l.Weight}
+		if r := states[l.Replica]; r != nil {
+			row.State, row.Out = r.State, r.Out
+		}
+		if !row.Out {
+			sum += l.Weight
+		}
+		rows = append(rows, row)
+	}
+	for i := range rows {
+		if sum > 0 && !rows[i].Out {
+			rows[i].Share = rows[i].Weight / sum
+		}
+	}
+	return rows
+}
+
+// forwarderRow is a joined forwarder.
+type forwarderRow struct {
+	Name    string  `json:"name"`
+	Number  int     `json:"number"`
+	Zone    string  `json:"zone"`
+	Table   int     `json:"table"` // -1: its own
+	Rate    float64 `json:"usual_rate"`
+	Joined  string  `json:"joined"`
+	Unacked int     `json:"unacknowledged_messages"`
+	Oldest  string  `json:"oldest_unacknowledged,omitempty"`
+}
+
+type forwarderPage struct {
+	forwarderRow
+	Lines  []lineRow  `json:"lines"`
+	Causes []causeRow `json:"causes"`
+}
+
+func (s *Server) forwarders(p *page, rest string, _ *http.Request) (any, error) {
+	look := p.View.Look
+	var rows []forwarderRow
+	for _, x := range look.Module.Proxies {
+		f := look.Forwarders[x.ID]
+		row := forwarderRow{Name: f.Name, Number: int(x.ID), Zone: s.zone(x.Zone), Table: x.Table, Rate: x.Usual, Joined: ago(p.Now, f.JoinedAt), Unacked: x.Unacked}
+		if x.Unacked > 0 {
+			row.Oldest = ago(p.Now, x.Oldest)
+		}
+		if rest == "" {
+			rows = append(rows, row)
+			continue
+		}
+		if f.Name != rest {
+			continue
+		}
+		p.Title, p.Kind = "Forwarder "+rest, "forwarder"
+		one := forwarderPage{forwarderRow: row}
+		about := []string{fmt.Sprintf("forwarder %d on", x.ID), "joined " + rest, "left " + rest}
+		for _, t := range look.Module.Tables {
+			if int(t.ID) == x.Table {
+				one.Lines = s.lines(look.Module, t)
+				about = append(about, fmt.Sprintf("table %d:", t.ID))
+			}
+		}
+		one.Causes = s.causeRows(p, s.from.Causes(50, func(c *governor.Cause) bool { return slices.ContainsFunc(about, c.Names) }))
+		return one, nil
+	}
+	if rest != "" {
+		return nil, fmt.Errorf("forwarder %.60q: %w joined here now", rest, errNone)
+	}
+	slices.SortFunc(rows, func(a, b forwarderRow) int { return strings.Compare(a.Name, b.Name) })
+	return rows[:min(len(rows), rowsMost)], nil
+}
+
+// tableRow is a table with its lines.
+type tableRow struct {
+	Table int       `json:"table"`
+	Zone  string    `json:"zone"`
+	Users int       `json:"forwarders"`
+	Rate  float64   `json:"usual_rate"`
+	Lines []lineRow `json:"lines"`
+}
+
+func (s *Server) tables(p *page, rest string, _ *http.Request) (any, error) {
+	m := p.View.Look.Module
+	var rows []tableRow
+	for _, t := range m.Tables {
+		if rest == "" || rest == strconv.Itoa(int(t.ID)) {
+			rows = append(rows, tableRow{int(t.ID), s.zone(t.Zone), t.Users, t.Usual, s.lines(m, t)})
+		}
+	}
+	if rest != "" && len(rows) == 0 {
+		return nil, fmt.Errorf("table %.20q: %w", rest, errNone)
+	}
+	return rows[:min(len(rows), rowsMost)], nil
+}
+
+// zoneRow is a hall: who is where, and where its tables send.
+type zoneRow struct {
+	Zone       string             `json:"zone"`
+	Forwarders int                `json:"forwarders"`
+	Rate       float64            `json:"usual_rate"`
+	Replicas   map[string]int     `json:"replicas_by_state"`
+	SendsTo    map[string]float64 `json:"weight_share_by_zone"` // by ordered weights and usual rates
+}
+
+func (s *Server) zones(p *page, rest string, _ *http.Request) (any, error) {
+	if rest != "" {
+		return nil, errNone
+	}
+	m := p.View.Look.Module
+	rows := make([]zoneRow, len(s.about.Zones))
+	for i, name := range s.about.Zones {
+		rows[i] = zoneRow{Zone: name, Replicas: map[string]int{}, SendsTo: map[string]float64{}}
+	}
+	home := map[string]string{}
+	for _, r := range m.Replicas {
+		home[tablewire.Address(r.ID)] = s.zone(r.Zone)
+		if r.Zone < len(rows) {
+			rows[r.Zone].Replicas[r.State]++
+		}
+	}
+	for _, x := range m.Proxies {
+		if x.Zone < len(rows) {
+			rows[x.Zone].Forwarders++
+			rows[x.Zone].Rate += x.Usual
+		}
+	}
+	bound := make([]float64, len(rows))
+	for _, t := range m.Tables {
+		if t.Zone >= len(rows) {
+			continue
+		}
+		bound[t.Zone] += t.Usual
+		for _, l := range s.lines(m, t) {
+			rows[t.Zone].SendsTo[home[l.Replica]] += l.Share * t.Usual
+		}
+	}
+	for i := range rows {
+		for to := range rows[i].SendsTo {
+			if bound[i] > 0 {
+				rows[i].SendsTo[to] /= bound[i]
+			}
+		}
+	}
+	return rows, nil
+}
+
+// causeRow is a step with its orders and why.
+type causeRow struct {
+	Number uint64   `json:"number"`
+	Ago    string   `json:"at"`
+	Came   []string `json:"came"`
+	Said   []string `json:"said"`
+	Orders []string `json:"orders"`
+	Cut    int      `json:"orders_left_out,omitempty"`
+}
+
+func (s *Server) causeRows(p *page, all []governor.Cause) []causeRow {
+	rows := make([]causeRow, 0, len(all))
+	for _, c := range all {
+		rows = append(rows, causeRow{c.Number, ago(p.Now, c.At), c.Came, c.Said, c.Orders, c.Cut})
+	}
+	return rows
+}
+
+// ordersPage is the journal of causes, narrowed by ?about=.
+type ordersPage struct {
+	About  string     `json:"about"`
+	Causes []causeRow `json:"causes"`
+}
+
+func (s *Server) orders(p *page, rest string, r *http.Request) (any, error) {
+	if rest != "" {
+		return nil, errNone
+	}
+	about := r.URL.Query().Get("about")
+	if len(about) > 200 {
+		about = about[:200]
+	}
+	return ordersPage{about, s.causeRows(p, s.from.Causes(200, func(c *governor.Cause) bool { return about == "" || c.Names(about) }))}, nil
+}
+
+func (s *Server) settings(_ *page, rest string, _ *http.Request) (any, error) {
+	if rest != "" {
+		return nil, errNone
+	}
+	return s.about.Settings, nil
+}
--- /dev/null
+++ b/console/console.go
@@ -0,0 +1,365 @@
+package console
+
+import (
+	"bytes"
+	"context"
+	"embed"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"html/template"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"peppervale/channel"
+	"peppervale/fleet"
+	"peppervale/governor"
+)
+
+// Source is what the console reads; governor.Host and channel.Server are the real ones.
+type Source interface {
+	Watch() *governor.View
+	Causes(most int, match func(*governor.Cause) bool) []governor.Cause
+	Stats() channel.Stats
+}
+
+// About is what does not change while a governor runs.
+type About struct {
+	Name, Listen string
+	Life         uint64
+	Zones        []string
+	Operations   []string
+	Settings     [][2]string // name and value, in the file's order
+	QueueMost    int
+	Now          func() fleet.Micros
+}
+
+// Bounds on viewers.
+const (
+	requestsMost = 64  // pages in work at once; more are told to come back
+	streamsMost  = 256 // live streams
+	writeFor     = 5 * time.Second
+	pathMost     = 1024
+	rowsMost     = 5000 // of a table on one page
+	historyMost  = 900  // seconds on the time line
+)
+
+//go:embed pages.html
+var files embed.FS
+
+var pages = template.Must(template.New("").Funcs(template.FuncMap{"ago": ago, "share": percent, "figure": figure}).ParseFS(files, "pages.html"))
+
+// Server serves one governor's pages. Make it with Listen.
+type Server struct {
+	about   About
+	from    Source
+	http    *http.Server
+	address string
+	work    chan struct{}
+	done    chan struct{}
+	wait    sync.WaitGroup
+
+	mu      sync.Mutex
+	history []sample
+	streams int
+}
+
+// sample is a second on the time line.
+type sample struct {
+	At                                   fleet.Micros
+	Joined, Ready, Queue, Waiting        int
+	Messages, Lines, Folds, SumFolds     uint64
+	GateOpen                             bool
+	Steps                                uint64
+	Resting, Draining, Easing, Withdrawn int
+}
+
+// Listen opens the address and serves until Close.
+func Listen(address string, about About, from Source) (*Server, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("console: %w; another process may have the address", err)
+	}
+	s := &Server{about: about, from: from, address: l.Addr().String(), work: make(chan struct{}, requestsMost), done: make(chan struct{})}
+	s.http = &http.Server{Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: writeFor, IdleTimeout: time.Minute, MaxHeaderBytes: 16 << 10}
+	s.wait.Add(2)
+	go func() {
+		defer s.wait.Done()
+		_ = s.http.Serve(l)
+	}()
+	go s.sampleOn()
+	return s, nil
+}
+
+// Addr is the address that it listens on.
+func (s *Server) Addr() string { return s.address }
+
+// Close ends it; live streams end too.
+func (s *Server) Close() {
+	close(s.done)
+	ctx, cancel := context.WithTimeout(context.Background(), writeFor)
+	defer cancel()
+	if s.http.Shutdown(ctx) != nil {
+		_ = s.http.Close()
+	}
+	s.wait.Wait()
+}
+
+func (s *Server) sampleOn() {
+	defer s.wait.Done()
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	for {
+		select {
+		case <-s.done:
+			return
+		case <-tick.C:
+			s.sample()
+		}
+	}
+}
+
+// sample costs a few figures a second; it does not ask for a look.
+func (s *Server) sample() {
+	st := s.from.Stats()
+	one := sample{At: s.about.Now(), Joined: st.Forwarders, Queue: st.Queue, Messages: st.Messages, Lines: st.Lines, Folds: st.Folds}
+	if v := s.view(); v != nil {
+		one.Ready, one.Waiting, one.GateOpen, one.Steps, one.SumFolds = v.Ready, v.Waiting, v.GateOpen, v.Steps, v.Folds
+		if v.Look != nil {
+			for _, r := range v.Look.Module.Replicas {
+				switch r.State {
+				case "resting":
+					one.Resting++
+				case "draining":
+					one.Draining++
+				case "easing":
+					one.Easing++
+				}
+				if r.Out {
+					one.Withdrawn++
+				}
+			}
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.history = append(s.history, one)
+	if len(s.history) > historyMost {
+		s.history = slices.Delete(s.history, 0, len(s.history)-historyMost)
+	}
+}
+
+func (s *Server) view() *governor.View { return s.from.Watch() }
+
+// page is what a template is given, and what JSON shows.
+type page struct {
+	Title string         `json:"title"`
+	Kind  string         `json:"-"`
+	About About          `json:"-"`
+	Name  string         `json:"governor"`
+	Life  uint64         `json:"life"`
+	At    fleet.Micros   `json:"at_us"`  // of the view
+	Age   string         `json:"age"`    // of the view when the page was made
+	Now   fleet.Micros   `json:"now_us"` // when it was made
+	View  *governor.View `json:"-"`
+	Stats channel.Stats  `json:"channel"`
+	Body  any            `json:"body"`
+	Trail []string       `json:"-"`
+}
+
+// errNone is a page about what is not there.
+var errNone = errors.New("there is none")
+
+// routes are the pages by the first part of their path.
+var routes = map[string]struct {
+	title string
+	make  func(s *Server, p *page, rest string, r *http.Request) (any, error)
+}{
+	"":           {"Overview", (*Server).overview},
+	"zones":      {"Zones", (*Server).zones},
+	"replicas":   {"Replicas", (*Server).replicas},
+	"forwarders": {"Forwarders", (*Server).forwarders},
+	"tables":     {"Tables", (*Server).tables},
+	"orders":     {"Orders and their causes", (*Server).orders},
+	"settings":   {"Settings in force", (*Server).settings},
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	head := w.Header()
+	head.Set("Content-Security-Policy", "default-src 'none'; style-src 'unsafe-inline'; img-src 'self'; script-src 'unsafe-inline'; connect-src 'self'")
+	head.Set("X-Content-Type-Options", "nosniff")
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeFor))
+	switch {
+	case r.Method != http.MethodGet && r.Method != http.MethodHead:
+		http.Error(w, "this console is read only", http.StatusMethodNotAllowed)
+		return
+	case len(r.URL.Path) > pathMost:
+		http.Error(w, "a shorter address, please", http.StatusRequestURITooLong)
+		return
+	case r.URL.Path == "/live":
+		s.live(w, r)
+		return
+	}
+	select {
+	case s.work <- struct{}{}:
+		defer func() { <-s.work }()
+	default:
+		head.Set("Retry-After", "1")
+		http.Error(w, "many pages are being made; come back in a second", http.StatusServiceUnavailable)
+		return
+	}
+	first, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	switch {
+	case first == "plot":
+		s.plot(w, rest)
+		return
+	case first == "ready" && rest == "":
+		s.ready(w)
+		return
+	}
+	route, known := routes[first]
+	if !known {
+		s.fail(w, http.StatusNotFound, "no page here; there are / /zones /replicas /forwarders /tables /orders /settings")
+		return
+	}
+	// The first to look for a while waits for a step that carries a look: five a second, if the governor steps at all.
+	v := s.view()
+	for k := 0; k < 10 && (v == nil || v.Look == nil || s.about.Now()-v.Look.At > fleet.Second); k++ {
+		select {
+		case <-time.After(50 * time.Millisecond):
+		case <-r.Context().Done():
+			return
+		}
+		v = s.view()
+	}
+	if v == nil || v.Look == nil {
+		head.Set("Retry-After", "1")
+		s.fail(w, http.StatusServiceUnavailable, "the governor has not finished a step since it started, or for a second; come back in a second")
+		return
+	}
+	now := s.about.Now()
+	p := &page{Title: route.title, Kind: first, About: s.about, Name: s.about.Name, Life: s.about.Life, At: v.Look.At, Now: now, Age: ago(now, v.Look.At), View: v, Stats: s.from.Stats()}
+	body, err := route.make(s, p, rest, r)
+	if err != nil {
+		s.fail(w, http.StatusNotFound, err.Error())
+		return
+	}
+	p.Body = body
+	var out bytes.Buffer
+	if r.URL.Query().Get("as") == "json" || strings.Contains(r.Header.Get("Accept"), "application/json") {
+		head.Set("Content-Type", "application/json")
+		encoder := json.NewEncoder(&out)
+		encoder.SetIndent("", " ")
+		err = encoder.Encode(p)
+	} else {
+		head.Set("Content-Type", "text/html; charset=utf-8")
+		if p.Kind == "" {
+			p.Kind = "overview"
+		}
+		err = pages.ExecuteTemplate(&out, "page", p)
+	}
+	if err != nil {
+		s.fail(w, http.StatusInternalServerError, "the page could not be made: "+err.Error())
+		return
+	}
+	head.Set("Cache-Control", "no-store")
+	_, _ = w.Write(out.Bytes())
+}
+
+func (s *Server) fail(w http.ResponseWriter, status int, why string) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.WriteHeader(status)
+	_, _ = fmt.Fprintln(w, why)
+}
+
+// ready is for machines: the gate is open and the list is fresh.
+func (s *Server) ready(w http.ResponseWriter) {
+	v := s.view()
+	switch {
+	case v == nil || !v.GateOpen:
+		s.fail(w, http.StatusServiceUnavailable, "the gate is shut")
+	case v.ListAt == 0:
+		s.fail(w, http.StatusServiceUnavailable, "no list came in this life")
+	default:
+		s.fail(w, http.StatusOK, "ready")
+	}
+}
+
+// live streams a short line a second by server-sent events. A viewer that does not read is dropped at its deadline.
+func (s *Server) live(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	full := s.streams >= streamsMost
+	if !full {
+		s.streams++
+	}
+	s.mu.Unlock()
+	if full {
+		w.Header().Set("Retry-After", "5")
+		s.fail(w, http.StatusServiceUnavailable, "many viewers hold live streams; reload by hand")
+		return
+	}
+	defer func() {
+		s.mu.Lock()
+		s.streams--
+		s.mu.Unlock()
+	}()
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.Header().Set("Cache-Control", "no-store")
+	control := http.NewResponseController(w)
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	for {
+		st, now := s.from.Stats(), s.about.Now()
+		text := fmt.Sprintf("%d forwarders, version %d, %d lines wait", st.Forwarders, st.Version, st.Queue)
+		if v := s.view(); v != nil {
+			gate := "shut"
+			if v.GateOpen {
+				gate = "open"
+			}
+			text += fmt.Sprintf(", gate %s, %d of %d replicas ready, last step %s", gate, v.Ready, v.Listed, ago(now, v.At))
+		}
+		_ = control.SetWriteDeadline(time.Now().Add(writeFor))
+		if _, err := fmt.Fprintf(w, "data: %s\n\n", text); err != nil || control.Flush() != nil {
+			return
+		}
+		select {
+		case <-tick.C:
+		case <-r.Context().Done():
+			return
+		case <-s.done:
+			return
+		}
+	}
+}
+
+func ago(now, at fleet.Micros) string {
+	if at == 0 {
+		return "never"
+	}
+	d := (now - at).Duration()
+	switch {
+	case d < 0:
+		return "now"
+	case d < 10*time.Second:
+		return fmt.Sprintf("%.1f s ago", d.Seconds())
+	case d < 2*time.Hour:
+		return d.Round(time.Second).String() + " ago"
+	}
+	return d.Round(time.Minute).String() + " ago"
+}
+
+func percent(f float64) string { return strconv.FormatFloat(100*f, 'f', 0, 64) + "%" }
+
+func figure(f float64) string { return strconv.FormatFloat(f, 'g', 3, 64) }
+
+func (s *Server) zone(n int) string {
+	if n >= 0 && n < len(s.about.Zones) {
+		return s.about.Zones[n]
+	}
+	return strconv.Itoa(n)
+}
--- a/governor/serve.go
+++ b/daemon/serve.go
@@ -1,4 +1,6 @@
-package governor
+// Package daemon puts a governor together: state folder, host, channel, machine list and console, from one file, and takes
+// it apart again in order.
+package daemon
 
 import (
 	"context"
@@ -10,7 +12,9 @@
 	"github.com/rs/zerolog"
 
 	"peppervale/channel"
+	"peppervale/console"
 	"peppervale/fleet"
+	"peppervale/governor"
 	"peppervale/roster"
 	"peppervale/site"
 	"peppervale/store"
@@ -19,7 +23,7 @@
 // Serve runs one governor until the context ends; then forwarders are told to go elsewhere within the file's
 // farewell, and nothing is left open. Errors are those of starting: the state folder, the address.
 func Serve(ctx context.Context, g *site.Governor, log zerolog.Logger) error {
-	if err := Check(g.Terms); err != nil {
+	if err := governor.Check(g.Terms); err != nil {
 		return err
 	}
 	state, err := store.Open(g.State)
@@ -27,7 +31,7 @@
 		return err
 	}
 	defer state.Close()
-	now := Clock()
+	now := governor.Clock()
 	life, lost, err := state.NextLife(uint64(now() / fleet.Second))
 	if err != nil {
 		return err
@@ -41,7 +45,7 @@
 	}
 	terms := g.Terms
 	terms.Seed += life << 32 // a fresh one at each start, the same for the same start
-	host := New(terms, g.Intake, now, log)
+	host := governor.New(terms, g.Intake, now, log)
 	server, err := channel.Listen(channel.Line{Listen: g.Listen, Life: life, Zones: g.Zones, Period: terms.Period,
 		Overhead: terms.Overhead, Pace: g.Pace, Now: now, Log: log, Limits: channel.Limits{
 			Connections: g.Peers.Connections, Observers: g.Peers.Observers, Unsent: g.Peers.Unsent, Greeting: g.Peers.Greeting}}, host)
@@ -57,6 +61,22 @@
 	defer list.Close()
 	log.Info().Str("governor", g.Name).Str("listen", server.Addr()).Uint64("life", life).Int("listed", len(cached)).Msg("serving")
 	go host.Run(server, list, cached)
+	if g.Console != "" {
+		about := console.About{Name: g.Name, Listen: server.Addr(), Life: life, Zones: g.Zones, Settings: g.InForce(), QueueMost: terms.QueueMost, Now: now}
+		for _, o := range g.Operations {
+			about.Operations = append(about.Operations, o.Name)
+		}
+		pages, err := console.Listen(g.Console, about, struct {
+			*governor.Host
+			*channel.Server
+		}{host, server})
+		if err != nil {
+			host.Stop()
+			return err
+		}
+		defer pages.Close()
+		log.Info().Str("console", "http://"+pages.Addr()).Msg("console")
+	}
 	tell := time.NewTicker(10 * time.Second)
 	defer tell.Stop()
 	for {
@@ -73,7 +93,7 @@
 	}
 }
 
-func report(log zerolog.Logger, host *Host, server *channel.Server) {
+func report(log zerolog.Logger, host *governor.Host, server *channel.Server) {
 	st, v := server.Stats(), host.View()
 	if v == nil {
 		return
@@ -86,7 +106,7 @@
 
 // keeper passes the list on and keeps each whole one on disk first, so that a restart knows what the module knew.
 type keeper struct {
-	host  *Host
+	host  *governor.Host
 	state *store.Folder
 	life  uint64
 	log   zerolog.Logger
--- a/day/run.go
+++ b/day/run.go
@@ -88,12 +88,12 @@
 
 // process is a governor of its own.
 type process struct {
-	name, zone, address, config, log string
-	program                          []string
-	cmd                              *exec.Cmd
-	file                             *os.File
-	starts                           int
-	usage                            time.Duration // of the processes that ended
+	name, zone, address, console, config, log string
+	program                                   []string
+	cmd                                       *exec.Cmd
+	file                                      *os.File
+	starts                                    int
+	usage                                     time.Duration // of the processes that ended
 }
 
 func (p *process) start() error {
@@ -219,7 +219,8 @@
 		name := fmt.Sprintf("%s-%d", zone, i+1)
 		p := &process{name: name, zone: zone, address: fmt.Sprintf("127.%d.254.%d:7700", d.octet, i+1), program: d.set.Program,
 			config: filepath.Join(d.folder, name+".hcl"), log: filepath.Join(d.folder, name+".log")}
-		text := d.governorFile(name, p.address, filepath.Join(d.folder, name+".state"), d.list.Addr(), d.Seed*100+uint64(i))
+		p.console = fmt.Sprintf("127.%d.254.%d:7780", d.octet, i+1)
+		text := d.governorFile(name, p.address, p.console, filepath.Join(d.folder, name+".state"), d.list.Addr(), d.Seed*100+uint64(i))
 		if err := os.WriteFile(p.config, text, 0o644); err != nil {
 			return err
 		}
@@ -360,6 +361,9 @@
 	}
 	d.loop.Do(func() {
 		d.began = d.now()
+		for _, p := range d.governors {
+			d.say("console of %s: http://%s", p.name, p.console)
+		}
 		d.say("day %s begins: %d forwarders, %d replicas, %d governors", d.Name, len(d.forwarders), len(d.replicas), max(len(d.governors), 1))
 		for i, c := range d.forwarders {
 			c.Governors = d.addresses(c, i)
--- a/governor/causes.go
+++ b/governor/causes.go
@@ -65,7 +65,7 @@
 	}
 }
 
-// step closes a step. One that neither said nor ordered anything is not kept.
+// step closes a step. One in which only sums, receipts or the timer came, and nothing followed, is not kept.
 func (c *causes) step(now fleet.Micros, b *channel.Batch) {
 	one := Cause{At: now, Came: c.came, Said: c.said}
 	if c.inputs > inputsMost {
@@ -80,8 +80,9 @@
 	if c.timer {
 		one.Came = append(one.Came, "timer")
 	}
+	told := c.inputs > 0
 	c.came, c.said, c.receipts, c.sums, c.timer, c.inputs = nil, nil, 0, 0, false, 0
-	if len(one.Said) == 0 && len(b.Orders) == 0 {
+	if !told && len(one.Said) == 0 && len(b.Orders) == 0 {
 		return
 	}
 	for _, o := range b.Orders[:min(len(b.Orders), ordersMost)] {
--- a/governor/governor_test.go
+++ b/governor/governor_test.go
@@ -215,3 +215,55 @@
 		t.Fatalf("%+v", v)
 	}
 }
+
+// The journal of causes keeps the newest steps that told, said or ordered something, and finds them by what they name.
+func TestCauses(t *testing.T) {
+	c := newCauses()
+	c.timer = true
+	c.step(1, &channel.Batch{})
+	if got := c.find(10, nil); len(got) != 0 {
+		t.Fatalf("an idle step is kept: %+v", got)
+	}
+	for n := range causesMost + 5 {
+		c.input("joined till-%d", n)
+		c.step(fleet.Micros(n), &channel.Batch{Orders: []channel.Order{{What: channel.Withdraw, Replica: id(byte(n % 7)), Out: true}}})
+	}
+	if got := c.find(2, nil); len(got) != 2 || got[0].Number != causesMost+5 || got[1].Number != causesMost+4 {
+		t.Fatalf("the newest are %+v", got)
+	}
+	if got := c.find(10, func(c *Cause) bool { return c.Names("till-0") }); len(got) != 0 {
+		t.Fatalf("the ring keeps more than its bound: %+v", got[0])
+	}
+	if got := c.find(3, func(c *Cause) bool { return c.Names("withdraw 127.0.0.3:80") }); len(got) != 3 {
+		t.Fatalf("%d found", len(got))
+	}
+	var many []channel.Order
+	for range 1000 {
+		many = append(many, channel.Order{What: channel.Bind})
+		c.input("joined")
+	}
+	c.step(9, &channel.Batch{Orders: many})
+	if got := c.find(1, nil)[0]; len(got.Orders) != ordersMost || got.Cut != 1000-ordersMost || len(got.Came) != inputsMost+1 {
+		t.Fatalf("%d orders, %d cut, %d inputs", len(got.Orders), got.Cut, len(got.Came))
+	}
+}
+
+// A look is taken only while somebody asks for it.
+func TestLooks(t *testing.T) {
+	h, o := start(t, ready(1, 2), nil)
+	h.Joined(7, 70, tablewire.Join{Name: "till", Rate: 5}, 0)
+	o.event(t, "admit 7 70")
+	o.until(t, bind, "a bind")
+	if v := h.View(); v.Look != nil {
+		t.Fatal("a look is taken though nobody asked")
+	}
+	for until := time.Now().Add(10 * time.Second); h.Watch().Look == nil; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatal("no look comes")
+		}
+	}
+	v := h.View()
+	if m := v.Look.Module; len(m.Replicas) != 2 || len(m.Proxies) != 1 || v.Look.Forwarders[7].Name != "till" || len(v.Look.List) != 2 {
+		t.Fatalf("%+v", v.Look)
+	}
+}
--- a/site/governor.go
+++ b/site/governor.go
@@ -1,10 +1,12 @@
 package site
 
 import (
+	"fmt"
 	"math"
 	"net/netip"
 	"path/filepath"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/zclconf/go-cty/cty"
@@ -61,6 +63,7 @@
 	Peers               PeerBounds
 	FarewellSpan        time.Duration
 	LogLevel            string
+	Console             string // address of its pages; "" for none
 }
 
 // PeerBounds is what peers of the channel may cost; zeros leave it to the channel.
@@ -113,6 +116,11 @@
 	g.Peers = c.Peers()
 	c.Done()
 
+	if b := top.One("console", 0, false); b.Given() {
+		g.Console = b.Address("listen", true)
+		b.Done()
+	}
+
 	l := top.One("machine_list", 1, true)
 	if g.List.Kind = l.Labels[0]; g.List.Kind != "consul" && g.List.Kind != "" {
 		l.Fault("", "machine_list: %q is none of consul", g.List.Kind)
@@ -236,3 +244,35 @@
 	g.QueueMost, g.WriteMost, g.WriteSpan = t.QueueMost, t.MessagesMost, t.MessagesSpan
 	return pace, intake
 }
+
+// InForce tells the settings as they were read, usual values included, for a reader.
+func (g *Governor) InForce() [][2]string {
+	t, r := g.Terms, g.Guarantees
+	all := [][2]string{{"governor", g.Name}, {"listen", g.Listen}, {"state", g.State}, {"console", g.Console}, {"zones", strings.Join(g.Zones, ", ")}}
+	add := func(name string, value any) { all = append(all, [2]string{name, fmt.Sprint(value)}) }
+	for _, o := range g.Operations {
+		text := fmt.Sprintf("objective %s, timeout %s, billed value %g, %s", o.Objective.Duration(), o.Timeout.Duration(), o.Value, o.Effect)
+		if o.Window > 0 {
+			text += fmt.Sprintf(", window %s", o.Window.Duration())
+		}
+		add("operation "+o.Name, text)
+	}
+	add("forwarders", t.Proxies)
+	add("standing", t.StandingSize)
+	add("connections_least", t.ConnsLeast)
+	add("avoids", t.Avoids)
+	add("admits a share", t.Admits)
+	add("crossing_price", t.CrossPrice)
+	add("order_price", t.PushPrice)
+	add("bare", r.Bare.Duration())
+	add("drain_grace", r.Grace.Duration())
+	add("cold", r.Cold.Duration())
+	add("pace", fmt.Sprintf("%g lines a second", g.Pace))
+	add("queue", fmt.Sprintf("%d lines", t.QueueMost))
+	add("overhead", fmt.Sprintf("%d lines a message", t.Overhead))
+	add("period", t.Period.Duration())
+	add("intake", fmt.Sprintf("%d sums a second", g.Intake))
+	add("messages_most", t.MessagesMost)
+	add("machine list", fmt.Sprintf("%s at %s, service %s, wait %s", g.List.Kind, g.List.Address, g.List.Service, g.List.Wait))
+	return all
+}
--- a/site/reader.go
+++ b/site/reader.go
@@ -140,6 +140,9 @@
 	}
 }
 
+// Given tells a block that stands in the file from the empty one that One gives for a missing one.
+func (b *Block) Given() bool { return len(b.r.texts) > 0 }
+
 // Has tells whether an attribute is given.
 func (b *Block) Has(name string) bool { return b.body.Attributes[name] != nil }
 
