Console driven through a hall loss, in a browser too; governors restarted fourteen times

Need: the console must say what the stand-ins did, and a restart under load must leave no orphaned channel.

--- a/console/browser_test.go
+++ b/console/browser_test.go
@@ -50,7 +50,9 @@
 	if live := text("#live"); !strings.HasPrefix(live, "Now: 3 forwarders") {
 		t.Fatalf("live line %q", live)
 	}
-	do(chromedp.Click("tbody a"), chromedp.WaitVisible("dl"))
+	if _, err := chromedp.RunResponse(ctx, chromedp.Click("tbody a")); err != nil {
+		t.Fatal(err)
+	}
 	if followed := text("h1"); !strings.HasPrefix(followed, "Replica 127.0.0.") {
 		t.Fatalf("a link leads to %q", followed)
 	}
--- a/day/day_test.go
+++ b/day/day_test.go
@@ -3,12 +3,16 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
+	"io"
+	"net/http"
 	"os"
 	"os/signal"
 	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 	"go.uber.org/goleak"
@@ -16,6 +20,7 @@
 	"peppervale/daemon"
 	"peppervale/rules"
 	"peppervale/site"
+	"peppervale/stand"
 )
 
 // The test binary is the governors' program too: started with "governor --config FILE" it is one.
@@ -56,9 +61,14 @@
 // story plays a short day of the town with these steps and wants every rule kept.
 func story(t *testing.T, length float64, governors []string, rate float64, steps ...Step) *Report {
 	t.Helper()
-	r := playDay(t, "hall-lost.hcl", func(s *Script) {
+	return kept(t, playDay(t, "hall-lost.hcl", func(s *Script) {
 		s.Name, s.Length, s.Governors, s.Steps, s.Load.Rate = t.Name(), seconds(length), governors, steps, rate
-	})
+	}))
+}
+
+// kept wants a day to have kept every rule and to end with forwarders bound.
+func kept(t *testing.T, r *Report) *Report {
+	t.Helper()
 	var out bytes.Buffer
 	r.Print(&out)
 	if r.Broken() || r.Tipped > 0 {
@@ -129,6 +139,17 @@
 				Step{Kind: "list_half", At: seconds(8), Lasts: seconds(2)}, Step{Kind: "list_back", At: seconds(11), Lasts: seconds(2)},
 				Step{Kind: "list_silent", At: seconds(14), Lasts: seconds(2)}, Step{Kind: "sums_late", At: seconds(5), Lasts: seconds(12), Size: 2})
 		},
+		"a governor restarts fourteen times at random moments": func(t *testing.T) {
+			var steps []Step
+			chance := stand.NewChance(3, "restarts")
+			for at := 4.0; len(steps) < 14; at += chance.Between(0.5, 1.5) {
+				steps = append(steps, Step{Kind: []string{"governor_crash", "governor_roll"}[len(steps)%2], At: seconds(at), Lasts: seconds(chance.Between(0.05, 0.4)), Part: 0.5})
+			}
+			r := story(t, 26, two, 60, steps...)
+			if r.Channel.Bound != 40 {
+				t.Errorf("%d of 40 bound at the end", r.Channel.Bound)
+			}
+		},
 		"forwarders stand still, or never acknowledge, while replicas drain": func(t *testing.T) {
 			story(t, 16, two, 100, Step{Kind: "forwarder_stall", At: seconds(4), Part: 0.2, Size: 1, Number: 4}, Step{Kind: "never_ack", At: seconds(4), Lasts: seconds(8), Part: 0.1},
 				Step{Kind: "drain", At: seconds(6), Lasts: seconds(6), Part: 0.2})
@@ -141,6 +162,73 @@
 	}
 }
 
+// The console is driven while a hall is lost and comes back: every page answers, and what it says is what the stand-ins
+// did.
+func TestTheConsoleThroughAHallLoss(t *testing.T) {
+	if testing.Short() {
+		t.Skip("a day takes seconds of sockets")
+	}
+	t.Parallel()
+	s, err := Open("../days/hall-lost.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Length, s.Steps = seconds(20), []Step{{Kind: "zone_loss", At: seconds(5), Lasts: seconds(5), Zone: "partick"}}
+	lines := make(chan string, 1000)
+	driven := make(chan error, 1)
+	go func() { driven <- drive(lines) }()
+	r, err := Run(context.Background(), s, Setting{Program: []string{os.Args[0], "governor"}, Folder: t.TempDir(),
+		Progress: writer(func(b []byte) { lines <- string(b) })})
+	close(lines)
+	if err != nil {
+		t.Fatal(err)
+	}
+	kept(t, r)
+	if err := <-driven; err != nil {
+		t.Error(err)
+	}
+}
+
+// drive reads a day's progress and the console of its first governor, whose hall stays.
+func drive(lines chan string) error {
+	defer http.DefaultClient.CloseIdleConnections()
+	base := ""
+	for line := range lines {
+		if _, at, found := strings.Cut(line, "console of govan-1: "); found {
+			base = strings.TrimSpace(at)
+		}
+		if strings.Contains(line, "zone_loss") {
+			break
+		}
+	}
+	get := func(path string) (int, string) {
+		r, err := http.Get(base + path)
+		if err != nil {
+			return 0, err.Error()
+		}
+		defer r.Body.Close()
+		text, _ := io.ReadAll(r.Body)
+		return r.StatusCode, string(text)
+	}
+	// The stand-ins lose five replicas and ten forwarders; five come back cold, after which fifteen serve and five ease in.
+	saw := map[string]bool{}
+	for until := time.Now().Add(14 * time.Second); time.Now().Before(until) && !(saw["lost"] && saw["back"]); time.Sleep(100 * time.Millisecond) {
+		for _, path := range []string{"/", "/zones", "/replicas", "/forwarders", "/tables", "/orders?about=partick", "/settings", "/plot/ready.svg"} {
+			if status, text := get(path); status != 200 {
+				return fmt.Errorf("%s answers %d: %.200s", path, status, text)
+			}
+		}
+		_, text := get("/replicas?as=json")
+		away, easing := strings.Count(text, `"state": "away"`), strings.Count(text, `"state": "easing"`)
+		saw["lost"] = saw["lost"] || away == 5
+		saw["back"] = saw["back"] || saw["lost"] && away == 0 && easing >= 5
+	}
+	if !saw["lost"] || !saw["back"] {
+		return fmt.Errorf("the console shows a hall lost: %v, and back cold: %v", saw["lost"], saw["back"])
+	}
+	return nil
+}
+
 func TestScriptsOfTheRepository(t *testing.T) {
 	for _, pattern := range []string{"*.hcl", "broken/*.hcl"} {
 		files, err := filepath.Glob(filepath.Join("..", "days", pattern))
