--- a/command/command.go
+++ b/command/command.go
@@ -32,6 +32,7 @@
 	Governor Governor `cmd:"" help:"Run a governor until a signal ends it."`
 	Check    Check    `cmd:"" help:"Read a governor's or a day's file, tell each fault with its place, start nothing."`
 	Day      Day      `cmd:"" help:"Play scripted days on loopback sockets."`
+	Stand    Stand    `cmd:"" help:"Run one stand-in, to try a governor by hand."`
 	Measure  Measure  `cmd:"" help:"Time parts of the program on this machine."`
 	Version  Version  `cmd:"" help:"Tell the version."`
 }
--- a/governor/governor_test.go
+++ b/governor/governor_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"reflect"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"go.uber.org/goleak"
 
 	"peppervale/channel"
+	"peppervale/decide"
 	"peppervale/fleet"
 	"peppervale/tablewire"
 )
@@ -267,3 +269,54 @@
 		t.Fatalf("%+v", v.Look)
 	}
 }
+
+// BenchmarkLook times what a look and the journal cost beside a step's own work, at three sizes, in one run.
+func BenchmarkLook(b *testing.B) {
+	for _, size := range [][2]int{{100, 30}, {482, 305}, {5000, 1000}} {
+		terms := fleet.Terms{Seed: 1, Operations: []fleet.Operation{{Objective: 500_000, Value: 1}}, Zones: 4, Admits: true, AdmitAll: 1, StandingSize: 6,
+			Period: fleet.Second, Overhead: 6, QueueMost: 1000 * size[0], BusyField: -1, Cold: 17 * fleet.Second, Proxies: size[0], ConnsLeast: 200}
+		h := New(terms, 100_000, Clock(), zerolog.Nop())
+		h.channel, h.roster = &outside{batches: make(chan *channel.Batch, 1), events: make(chan string, 1)}, nil
+		h.batch = &channel.Batch{Receipt: -1}
+		now := fleet.Micros(100 * fleet.Second)
+		h.module = decide.New(terms, h, now)
+		var list []fleet.Listing
+		for n := range size[1] {
+			list = append(list, fleet.Listing{ID: fleet.ReplicaID{Addr: [4]byte{10, 0, byte(n / 250), byte(n % 250)}, Port: 80}, Zone: n % 4, Life: fleet.Ready})
+		}
+		h.module.Listed(now, fleet.Cached, list)
+		for p := range size[0] {
+			h.module.Joined(now, fleet.ProxyID(p), p%4, 5)
+			h.known[fleet.ProxyID(p)] = Forwarder{Name: fmt.Sprint("till-", p)}
+		}
+		step := func(look, journal bool) func(b *testing.B) {
+			return func(b *testing.B) {
+				for b.Loop() {
+					now += 200 * fleet.Millisecond
+					for _, l := range list {
+						h.module.Heard(now, fleet.Sum{Replica: l.ID, Tries: 10, Latency: 100_000, Span: fleet.Second})
+					}
+					h.module.Rang(now)
+					h.module.Settle(now)
+					if journal {
+						h.causes.timer = true
+						h.causes.step(now, h.batch)
+					}
+					if n := h.batch.Receipt; n >= 0 {
+						for p := range size[0] {
+							h.module.Applied(now, fleet.ProxyID(p), uint32(n))
+						}
+					}
+					h.batch = &channel.Batch{Receipt: -1}
+					if look {
+						h.look = &Look{At: now, Module: h.module.View(), Forwarders: maps.Clone(h.known), List: maps.Clone(h.list)}
+					}
+				}
+			}
+		}
+		name := fmt.Sprint(size[0], "x", size[1])
+		b.Run(name+"/bare", step(false, false))
+		b.Run(name+"/causes", step(false, true))
+		b.Run(name+"/look", step(true, false))
+	}
+}
