--- a/site/site_test.go
+++ b/site/site_test.go
@@ -67,7 +67,7 @@
 // Each fault is told with its place and its cure, all of a file at once.
 func TestFaultsHavePlaceAndCure(t *testing.T) {
 	for name, c := range map[string]struct{ from, to, place, cure string }{
-		"an unknown block":       {"rules {", "rulez {", ":22:1", `no block "rulez" here; there are channel, fleet`},
+		"an unknown block":       {"rules {", "rulez {", ":22:1", `no block "rulez" here; there are channel, console, fleet`},
 		"an unknown setting":     {"forwarders  = 40", "forwarders  = 40\n  proxys = 1", ":20:3", `no setting "proxys" here; there are admits`},
 		"a zone twice":           {`["govan", "partick"]`, `["govan", "govan"]`, ":5:9", `"govan" stands there twice`},
 		"a time without a unit":  {`"500ms"`, `500`, ":7:15", `write "500ms" or "500s"`},
