Admission of joins: a storm of 2,000 settles without a second one

Need: when a governor is lost its forwarders dial another one at once; what exceeds a bound is to be put off with a time, never dropped in silence. Change: package admission, free of I/O (tokens in calm, places in a storm, shed when full), asked by the channel at each JOIN; LATER as the answer; settings joins, joins_burst, joined_most; peppervale measure storm.

--- /dev/null
+++ b/admission/admission_test.go
@@ -0,0 +1,146 @@
+package admission
+
+import (
+	"container/heap"
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"peppervale/fleet"
+)
+
+const s = fleet.Second
+
+func TestAFewRestartsPassAtOnce(t *testing.T) {
+	g := New(Bounds{Rate: 10, Burst: 20}, 0)
+	for n := range 20 {
+		if v, _ := g.Join(0, fmt.Sprint(n), n); v != Admit {
+			t.Fatalf("the %d. of a burst is not let in", n)
+		}
+	}
+	if v, after := g.Join(0, "late", 20); v != Defer || after != s/10 || !g.Storm() {
+		t.Fatalf("beyond the burst: %v after %d", v, after)
+	}
+}
+
+func TestAPlaceIsKept(t *testing.T) {
+	g := New(Bounds{Rate: 10, Burst: 1}, 0)
+	g.Join(0, "first", 0)
+	_, after := g.Join(0, "second", 1)
+	if v, again := g.Join(after/2, "second", 1); v != Defer || again != after/2 {
+		t.Fatalf("early: %v after %d", v, again)
+	}
+	if v, _ := g.Join(after, "second", 1); v != Admit {
+		t.Fatal("in time, and not let in")
+	}
+}
+
+func TestAStormEnds(t *testing.T) {
+	g := New(Bounds{Rate: 10, Burst: 1}, 0)
+	g.Join(0, "first", 0)
+	g.Join(0, "goes elsewhere", 1)
+	if v, _ := g.Join(100*s, "much later", 1); v != Admit || g.Storm() || len(g.places) != 0 {
+		t.Fatalf("a storm does not end: %v, %d places", v, len(g.places))
+	}
+}
+
+func TestAFullFleetSheds(t *testing.T) {
+	g := New(Bounds{Rate: 10, Burst: 10, Most: 2, Spread: 0.5}, 0)
+	if v, after := g.Join(0, "third", 2); v != Shed || after < shedFor || after > shedFor*3/2 {
+		t.Fatalf("%v after %d", v, after)
+	}
+}
+
+// arrivals are joins by their time.
+type arrival struct {
+	at   fleet.Micros
+	name int
+}
+type arrivals []arrival
+
+func (a arrivals) Len() int           { return len(a) }
+func (a arrivals) Less(i, j int) bool { return a[i].at < a[j].at }
+func (a arrivals) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
+func (a *arrivals) Push(x any)        { *a = append(*a, x.(arrival)) }
+func (a *arrivals) Pop() any {
+	old := *a
+	x := old[len(old)-1]
+	*a = old[:len(old)-1]
+	return x
+}
+
+// Two thousand that dial at once are all in after the time that the rate asks for, with no second storm: nobody is
+// deferred more than twice, and no second brings more than the rate and the spread allow.
+func TestAStormOfTwoThousand(t *testing.T) {
+	const n, rate = 2000, 200
+	g := New(Bounds{Rate: rate, Burst: 50, Spread: 1, Seed: 7}, 0)
+	var queue arrivals
+	for k := range n {
+		heap.Push(&queue, arrival{fleet.Micros(k % 100), k})
+	}
+	deferred, perSecond, joined := map[int]int{}, map[fleet.Micros]int{}, 0
+	var last fleet.Micros
+	for len(queue) > 0 {
+		a := heap.Pop(&queue).(arrival)
+		perSecond[a.at/s]++
+		switch v, after := g.Join(a.at, fmt.Sprint(a.name), joined); v {
+		case Admit:
+			joined++
+			last = a.at
+		default:
+			if deferred[a.name]++; deferred[a.name] > 2 {
+				t.Fatalf("forwarder %d is put off %d times", a.name, deferred[a.name])
+			}
+			heap.Push(&queue, arrival{a.at + after, a.name})
+		}
+	}
+	if joined != n || last > fleet.Micros(float64(n)/rate*1.1)*s {
+		t.Fatalf("%d in after %d us", joined, last)
+	}
+	for at, count := range perSecond {
+		if at > 0 && count > rate+50 {
+			t.Fatalf("%d come in second %d: a second storm", count, at)
+		}
+	}
+}
+
+// Whatever asks when: no span admits more than its burst and rate, who comes back in time is let in, and what is
+// remembered is bounded by who asked.
+func TestAnyCourse(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate, burst := rapid.IntRange(1, 50).Draw(t, "rate"), rapid.IntRange(1, 20).Draw(t, "burst")
+		g := New(Bounds{Rate: float64(rate), Burst: burst, Spread: 0.5, Seed: 1}, 0)
+		var now fleet.Micros
+		var admitted []fleet.Micros
+		due := map[int]fleet.Micros{}
+		for range rapid.IntRange(1, 300).Draw(t, "joins") {
+			now += fleet.Micros(rapid.IntRange(0, 200_000).Draw(t, "pause"))
+			name := rapid.IntRange(0, 40).Draw(t, "name")
+			v, after := g.Join(now, fmt.Sprint(name), 0)
+			if v == Admit {
+				admitted = append(admitted, now)
+				delete(due, name)
+				continue
+			}
+			if at, told := due[name]; told && now >= at && now <= at+s/fleet.Micros(rate) {
+				t.Fatalf("forwarder %d comes back at its time and is put off again", name)
+			}
+			if after <= 0 {
+				t.Fatalf("put off by %d", after)
+			}
+			due[name] = now + after
+		}
+		for i, from := range admitted {
+			for k, to := range admitted[i:] {
+				// Places of a storm that nobody came for in time may be taken up to a storm's length later.
+				if most := float64(burst) + float64(to-from)/float64(s)*float64(rate) + 41; float64(k+1) > most {
+					t.Fatalf("%d in within %d us", k+1, to-from)
+				}
+			}
+		}
+		if len(g.places) > 41 {
+			t.Fatalf("%d places are remembered", len(g.places))
+		}
+	})
+}
--- a/channel/channel_test.go
+++ b/channel/channel_test.go
@@ -14,8 +14,12 @@
 	"github.com/rs/zerolog"
 	"go.uber.org/goleak"
 
+	"peppervale/admission"
 	"peppervale/fleet"
 	"peppervale/resp"
+	"peppervale/rules"
+	"peppervale/stand"
+	"peppervale/stand/forwarder"
 	"peppervale/tablewire"
 )
 
@@ -463,3 +467,48 @@
 	c.conn.Close()
 	<-done
 }
+
+// A storm: hundreds of forwarders dial at once. They are put off once or twice each, with times that keep the rate, and
+// all join; nobody is dropped without a time to come back, and nobody comes back as a storm.
+func TestAStormOfJoinsSettles(t *testing.T) {
+	const n, rate = 300, 150
+	h := start(t, func(l *Line) { l.Joins = admission.Bounds{Rate: rate, Burst: 30, Spread: 1, Seed: 3} })
+	engine, err := forwarder.NewEngine()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer engine.Stop()
+	loop := stand.NewLoop(h.now)
+	defer loop.Stop()
+	var all []*forwarder.Forwarder
+	loop.Do(func() {
+		for k := range n {
+			f := forwarder.New(loop, engine, forwarder.Facts{Name: fmt.Sprint("till-", k), Zone: "govan", Redial: fleet.Second, ConnectFor: 5 * fleet.Second,
+				StreamsOnly: true, Governors: []forwarder.Governor{{Name: "g", Address: h.server.Addr()}}}, 1, func(rules.Seen) {})
+			f.Start(nil)
+			all = append(all, f)
+		}
+	})
+	defer loop.Do(func() {
+		for _, f := range all {
+			f.Kill()
+		}
+	})
+	for until := time.Now().Add(20 * time.Second); h.server.Stats().Forwarders < n; time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatalf("%+v", h.server.Stats())
+		}
+	}
+	took := h.now()
+	st := h.server.Stats()
+	loop.Do(func() {
+		for _, f := range all {
+			if f.Joins != 1 || f.Deferred > 3 {
+				t.Errorf("%s joined %d times and was put off %d times", f.Name, f.Joins, f.Deferred)
+			}
+		}
+	})
+	if st.Deferred < n/2 || st.Storms != 1 || took < (n-30)*fleet.Second/rate/2 {
+		t.Errorf("all in after %d us: %+v", took, st)
+	}
+}
--- a/channel/peer.go
+++ b/channel/peer.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"peppervale/admission"
 	"peppervale/fleet"
 	"peppervale/resp"
 	"peppervale/tablewire"
@@ -155,6 +156,13 @@
 		s.mu.Unlock()
 		return fmt.Errorf("JOIN: this connection has joined as %q", p.join.Name)
 	}
+	if v, after := s.gate.Join(s.line.Now(), j.Name, len(s.streams)); v != admission.Admit {
+		// Not a fault: the peer is told when to come, and ended so that it holds no place among the connections.
+		p.join = j
+		s.refuse(p, fmt.Sprintf(later+" %d milliseconds, then join again; keep what you hold", after/fleet.Millisecond+1))
+		s.mu.Unlock()
+		return nil
+	}
 	number, known := s.numbers[j.Name]
 	if !known {
 		if len(s.numbers) > 65534 {
--- a/channel/server.go
+++ b/channel/server.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/lesismal/nbio"
 	"github.com/rs/zerolog"
 
+	"peppervale/admission"
 	"peppervale/fleet"
 	"peppervale/resp"
 	"peppervale/sockets"
@@ -45,6 +47,7 @@
 	Overhead int          // lines that a message costs beyond its own
 	Pace     float64      // lines a second
 	Limits   Limits
+	Joins    admission.Bounds // how many may join; zero: all
 	Now      func() fleet.Micros
 	Log      zerolog.Logger
 }
@@ -64,6 +67,9 @@
 	Resyncs     uint64 `json:"resyncs"`
 	Faults      uint64 `json:"faults"`
 	Replaced    uint64 `json:"replaced"`
+	Deferred    uint64 `json:"joins_deferred"`
+	Shed        uint64 `json:"joins_shed"`
+	Storms      uint64 `json:"join_storms"`
 }
 
 // Server is a governor's channel. Make it with Listen.
@@ -76,6 +82,7 @@
 	wait   sync.WaitGroup
 
 	mu        sync.Mutex
+	gate      *admission.Gate
 	board     *board
 	pacer     pacer
 	peers     map[*nbio.Conn]*peer
@@ -104,7 +111,7 @@
 		l.Greeting = Ordinary.Greeting
 	}
 	s := &Server{line: line, events: events, wake: make(chan struct{}, 1), done: make(chan struct{}),
-		board: newBoard(line.Life, line.Overhead), pacer: pacer{perSecond: line.Pace},
+		gate: admission.New(line.Joins, line.Now()), board: newBoard(line.Life, line.Overhead), pacer: pacer{perSecond: line.Pace},
 		peers: map[*nbio.Conn]*peer{}, streams: map[fleet.ProxyID]*peer{}, numbers: map[string]fleet.ProxyID{},
 		folded: map[*peer]bool{}}
 	var err error
@@ -201,6 +208,7 @@
 	defer s.mu.Unlock()
 	st := s.stats
 	st.Forwarders, st.Observers, st.Connections = len(s.board.holders), s.observers, len(s.peers)
+	st.Deferred, st.Shed, st.Storms = s.gate.Stats.Deferred, s.gate.Stats.Shed, s.gate.Stats.Storms
 	st.Version, st.Queue, st.QueueMost = s.board.version, s.pacer.lines, s.pacer.most
 	return st
 }
@@ -405,6 +413,9 @@
 	return resp.AppendBulk(resp.AppendBulk(resp.AppendBulk(b, "message"), topic), text)
 }
 
+// later begins the answer to a join that is put off.
+const later = "LATER"
+
 // topic is what observers subscribe to.
 const topic = "tables"
 
@@ -441,7 +452,11 @@
 	if p.ended.Swap(true) {
 		return
 	}
-	s.line.Log.Warn().Str("peer", p.conn.RemoteAddr().String()).Str("forwarder", p.join.Name).Str("why", why).Msg("connection ended")
+	level := zerolog.WarnLevel
+	if strings.HasPrefix(why, later) { // no fault, and in a storm there are thousands
+		level = zerolog.DebugLevel
+	}
+	s.line.Log.WithLevel(level).Str("peer", p.conn.RemoteAddr().String()).Str("forwarder", p.join.Name).Str("why", why).Msg("connection ended")
 	s.write(p, resp.AppendLine(nil, resp.Failure, why))
 	_ = p.conn.Close()
 }
--- a/command/command.go
+++ b/command/command.go
@@ -199,6 +199,30 @@
 // Measure is peppervale measure.
 type Measure struct {
 	Channel MeasureChannel `cmd:"" help:"Time the channel from Publish to the last receipt, beside plain sockets."`
+	Storm   MeasureStorm   `cmd:"" help:"Let many forwarders dial at once, with and without admission."`
+}
+
+// MeasureStorm is peppervale measure storm.
+type MeasureStorm struct {
+	Forwarders int       `help:"How many." default:"2000"`
+	Rates      []float64 `help:"Joins a second let in; 0: all." default:"0,200,500"`
+}
+
+// Run is the command.
+func (c *MeasureStorm) Run(out io.Writer) error {
+	if c.Forwarders < 1 || c.Forwarders > 10_000 {
+		return fmt.Errorf("%w: 1 to 10000 forwarders are wanted", ErrInput)
+	}
+	var all []*measure.StormFigures
+	for _, rate := range c.Rates {
+		f, err := measure.Storm(c.Forwarders, rate)
+		if err != nil {
+			return err
+		}
+		all = append(all, f)
+	}
+	measure.PrintStorms(out, all)
+	return nil
 }
 
 // MeasureChannel is peppervale measure channel.
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -11,6 +11,7 @@
 
 	"github.com/rs/zerolog"
 
+	"peppervale/admission"
 	"peppervale/channel"
 	"peppervale/console"
 	"peppervale/fleet"
@@ -47,7 +48,8 @@
 	terms.Seed += life << 32 // a fresh one at each start, the same for the same start
 	host := governor.New(terms, g.Intake, now, log)
 	server, err := channel.Listen(channel.Line{Listen: g.Listen, Life: life, Zones: g.Zones, Period: terms.Period,
-		Overhead: terms.Overhead, Pace: g.Pace, Now: now, Log: log, Limits: channel.Limits{
+		Overhead: terms.Overhead, Pace: g.Pace, Now: now,
+		Joins: admission.Bounds{Rate: g.Peers.JoinRate, Burst: g.Peers.JoinBurst, Most: g.Peers.JoinMost, Spread: 1, Seed: terms.Seed}, Log: log, Limits: channel.Limits{
 			Connections: g.Peers.Connections, Observers: g.Peers.Observers, Unsent: g.Peers.Unsent, Greeting: g.Peers.Greeting}}, host)
 	if err != nil {
 		return fmt.Errorf("%w; another process may have the address", err)
--- /dev/null
+++ b/measure/storm.go
@@ -0,0 +1,115 @@
+package measure
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"peppervale/admission"
+	"peppervale/channel"
+	"peppervale/fleet"
+	"peppervale/governor"
+	"peppervale/rules"
+	"peppervale/stand"
+	"peppervale/stand/forwarder"
+	"peppervale/tablewire"
+)
+
+// StormFigures are of one storm: all dial within a tenth of a second.
+type StormFigures struct {
+	Forwarders  int
+	Rate        float64 // joins a second that are let in; 0: all
+	AllIn       time.Duration
+	Deferrals   uint64
+	DeferredMax int // of one forwarder
+	PeakJoins   int // in a second
+	Storms      uint64
+	CPU         time.Duration // both ends
+}
+
+// counter notes joins by the second.
+type counter struct {
+	*publisher
+	now     func() fleet.Micros
+	seconds chan fleet.Micros
+}
+
+func (c *counter) Joined(p fleet.ProxyID, stream uint64, j tablewire.Join, zone int) {
+	c.seconds <- c.now() / fleet.Second
+	c.publisher.Joined(p, stream, j, zone)
+}
+
+// Storm has n forwarders dial at once.
+func Storm(n int, rate float64) (*StormFigures, error) {
+	now := governor.Clock()
+	c := &counter{&publisher{joined: make(chan fleet.ProxyID, n), applied: make(chan uint32, n)}, now, make(chan fleet.Micros, 10*n)}
+	server, err := channel.Listen(channel.Line{Listen: "127.0.0.1:0", Life: 1, Zones: []string{"zone"}, Period: 3600 * fleet.Second, Overhead: 6, Pace: 1e9,
+		Now: now, Log: zerolog.Nop(), Limits: channel.Limits{Connections: 2 * n}, Joins: admission.Bounds{Rate: rate, Burst: 50, Spread: 1, Seed: 1}}, c)
+	if err != nil {
+		return nil, err
+	}
+	c.server = server
+	defer server.Close()
+	engine, err := forwarder.NewEngine()
+	if err != nil {
+		return nil, err
+	}
+	defer engine.Stop()
+	loop := stand.NewLoop(now)
+	defer loop.Stop()
+	var all []*forwarder.Forwarder
+	began, start := time.Now(), cpu()
+	loop.Do(func() {
+		for k := range n {
+			f := forwarder.New(loop, engine, forwarder.Facts{Name: fmt.Sprint("listener-", k), Zone: "zone", Redial: fleet.Second, ConnectFor: 10 * fleet.Second,
+				StreamsOnly: true, Governors: []forwarder.Governor{{Name: "g", Address: server.Addr()}}}, 1, func(rules.Seen) {})
+			f.Start(nil)
+			all = append(all, f)
+		}
+	})
+	defer loop.Do(func() {
+		for _, f := range all {
+			f.Kill()
+		}
+	})
+	for range n {
+		select {
+		case <-c.joined:
+		case <-time.After(60 * time.Second):
+			return nil, fmt.Errorf("measure: not all of %d forwarders joined", n)
+		}
+	}
+	f := &StormFigures{Forwarders: n, Rate: rate, AllIn: time.Since(began), CPU: cpu() - start}
+	st := server.Stats()
+	f.Deferrals, f.Storms = st.Deferred, st.Storms
+	loop.Do(func() {
+		for _, one := range all {
+			f.DeferredMax = max(f.DeferredMax, one.Deferred)
+		}
+	})
+	perSecond := map[fleet.Micros]int{}
+	for range len(c.seconds) {
+		perSecond[<-c.seconds]++
+	}
+	var counts []int
+	for _, k := range perSecond {
+		counts = append(counts, k)
+	}
+	f.PeakJoins = slices.Max(counts)
+	return f, nil
+}
+
+// PrintStorms writes a table.
+func PrintStorms(w io.Writer, all []*StormFigures) {
+	fmt.Fprintf(w, "| forwarders | joins a second let in | all in after | put off, in all | of one at most | most joins in a second | storms | CPU, both ends |\n| --- | --- | --- | --- | --- | --- | --- | --- |\n")
+	for _, f := range all {
+		rate := "all"
+		if f.Rate > 0 {
+			rate = fmt.Sprint(f.Rate)
+		}
+		fmt.Fprintf(w, "| %d | %s | %s | %d | %d | %d | %d | %s |\n", f.Forwarders, rate, f.AllIn.Round(time.Millisecond), f.Deferrals, f.DeferredMax, f.PeakJoins, f.Storms, f.CPU.Round(time.Millisecond))
+	}
+}
--- a/site/governor.go
+++ b/site/governor.go
@@ -70,6 +70,8 @@
 type PeerBounds struct {
 	Connections, Observers, Unsent int
 	Greeting                       time.Duration
+	JoinRate                       float64 // joins a second; 0: all at once
+	JoinBurst, JoinMost            int     // at once; forwarders joined in all, 0: no bound
 }
 
 // MachineList says where the list is.
@@ -137,7 +139,8 @@
 // Peers reads the bounds on peers from the block channel { }.
 func (b *Block) Peers() PeerBounds {
 	return PeerBounds{Connections: b.Whole("connections", 0, 0, many), Observers: b.Whole("observers", 0, 0, many),
-		Unsent: b.Whole("unsent_bytes", 0, 0, 1<<30), Greeting: b.Span("greeting", 0, 0, longest).Duration()}
+		Unsent: b.Whole("unsent_bytes", 0, 0, 1<<30), Greeting: b.Span("greeting", 0, 0, longest).Duration(), JoinRate: b.Number("joins", 0, 0, many),
+		JoinBurst: b.Whole("joins_burst", 50, 1, many), JoinMost: b.Whole("joined_most", 0, 0, many)}
 }
 
 // Governors reads the list governors, which may name a zone more than once.
--- a/stand/forwarder/forwarder.go
+++ b/stand/forwarder/forwarder.go
@@ -108,9 +108,9 @@
 	next    int // governor to dial
 
 	// Figures.
-	Messages, Bytes, Lines, Resyncs, Joins int
-	Acked                                  fleet.Micros // when it last acknowledged
-	OnMessage                              func(m *tablewire.Message)
+	Messages, Bytes, Lines, Resyncs, Joins, Deferred int
+	Acked                                            fleet.Micros // when it last acknowledged
+	OnMessage                                        func(m *tablewire.Message)
 }
 
 type held struct{ life, version uint64 }
--- a/stand/forwarder/stream.go
+++ b/stand/forwarder/stream.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"fmt"
 	"slices"
 	"strings"
 
@@ -152,6 +153,12 @@
 	switch {
 	case v.Kind == resp.Failure:
 		s.end()
+		var wait int
+		if n, _ := fmt.Sscanf(v.Text, "LATER %d ", &wait); n == 1 && wait >= 0 && wait < 600_000 {
+			f.Deferred++
+			f.dialIn(fleet.Micros(wait) * fleet.Millisecond)
+			return
+		}
 		f.next++
 		f.redial()
 	case v.Kind == resp.Map:
