--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -130,6 +130,18 @@
 	}
 }
 
+// Found by the hunt for broken rules (h27f5e4, h463155): what a replica of some seconds can do is tipped by a run that one
+// nearly warm stands, so the younger it is the earlier it is held.
+func TestTheYoungerTheEarlierHeld(t *testing.T) {
+	for age, held := range map[fleet.Micros]bool{fleet.Second: true, 11 * fleet.Second: false} {
+		h := warm(t, 8, nil)
+		h.change(fleet.Ready, h.now-age, 1)
+		h.settle()
+		h.run(4, h.each(2, 8, 100, 68, 100*fleet.Millisecond))
+		failIf(t, h.out[id(1)] != held, "started %d us ago, out %v, with two tries in three unanswered", age, h.out[id(1)])
+	}
+}
+
 func TestErringTable(t *testing.T) {
 	// Found by the hunt for broken rules: most replicas refused connections, and all ran to the one just started.
 	h := warm(t, 8, nil)
