--- a/decide/decide.go
+++ b/decide/decide.go
@@ -190,8 +190,8 @@
 // out tells whether a replica is shut out everywhere: a cold one while the gate is shut, as untold tables
 // hold it in full, and in a table near a jam, or of one proxy, whose run no sum tells, unless half is new.
 func (g *Governor) out(r *replica) bool {
-	// The younger it is the less a run may bring: the level falls to 0.64 at its start. From 0.58 and 0.45 no more
-	// of the broken days are kept, and releases beside errors lose far more.
+	// The younger it is the less a run may bring: the level falls to 0.64 at its start. From 0.58 and 0.45 no
+	// more of the broken days are kept, and releases beside errors lose far more.
 	young := 1 - min(1, float64(g.now-r.since)/float64(max(g.terms.Cold, 1)))
 	near := func(l *line) bool { return l.t.risk > 0.7-0.06*young || len(l.t.users) == 1 }
 	jam := g.stress > jammed || slices.ContainsFunc(r.lines, near)
