--- a/channel/channel_test.go
+++ b/channel/channel_test.go
@@ -512,3 +512,19 @@
 		t.Errorf("all in after %d us: %+v", took, st)
 	}
 }
+
+// A string that is begun and never ended costs no more than what came of it, and its peer is ended with the greeting's
+// time; a forwarder that joins meanwhile is served.
+func TestAStringNeverEnded(t *testing.T) {
+	h := start(t, func(l *Line) { l.Limits.Greeting = 300 * time.Millisecond })
+	c := dial(t, h)
+	c.say([]byte("*2\r\n$1000000\r\nbegun"))
+	good, _ := join(t, h, "till")
+	if v, ok := c.next(); ok {
+		t.Fatalf("it is sent %v", v)
+	}
+	h.publish(1, shut(1, true))
+	if m := good.message(); m.Receipt != 1 {
+		t.Fatalf("the forwarder got %+v", m)
+	}
+}
