--- a/measure/channel.go
+++ b/measure/channel.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"github.com/lesismal/nbio"
 	"github.com/rs/zerolog"
 
 	"peppervale/channel"
@@ -34,6 +35,25 @@
 	RawCPU                    time.Duration
 }
 
+// listeners starts n forwarders that carry no invocations; kill ends them.
+func listeners(loop *stand.Loop, engine *nbio.Engine, n int, address string) (all []*forwarder.Forwarder, kill func()) {
+	loop.Do(func() {
+		for k := range n {
+			f := forwarder.New(loop, engine, forwarder.Facts{Name: fmt.Sprint("listener-", k), Zone: "zone", Redial: fleet.Second, ConnectFor: 10 * fleet.Second,
+				StreamsOnly: true, Governors: []forwarder.Governor{{Name: "g", Address: address}}}, 1, func(rules.Seen) {})
+			f.Start(nil)
+			all = append(all, f)
+		}
+	})
+	return all, func() {
+		loop.Do(func() {
+			for _, f := range all {
+				f.Kill()
+			}
+		})
+	}
+}
+
 // publisher admits whoever joins and waits for receipts.
 type publisher struct {
 	server  *channel.Server
@@ -70,20 +90,8 @@
 	defer engine.Stop()
 	loop := stand.NewLoop(now)
 	defer loop.Stop()
-	var all []*forwarder.Forwarder
-	loop.Do(func() {
-		for k := range n {
-			f := forwarder.New(loop, engine, forwarder.Facts{Name: fmt.Sprint("listener-", k), Zone: "zone", Redial: fleet.Second, ConnectFor: 10 * fleet.Second,
-				StreamsOnly: true, Governors: []forwarder.Governor{{Name: "g", Address: p.server.Addr()}}}, 1, func(rules.Seen) {})
-			f.Start(nil)
-			all = append(all, f)
-		}
-	})
-	defer loop.Do(func() {
-		for _, f := range all {
-			f.Kill()
-		}
-	})
+	_, kill := listeners(loop, engine, n, p.server.Addr())
+	defer kill()
 	var orders []channel.Order
 	for k := range lines {
 		orders = append(orders, channel.Order{What: channel.Assign, Table: 1, Replica: replicaID(k), Weight: 1})
--- a/measure/storm.go
+++ b/measure/storm.go
@@ -12,7 +12,6 @@
 	"peppervale/channel"
 	"peppervale/fleet"
 	"peppervale/governor"
-	"peppervale/rules"
 	"peppervale/stand"
 	"peppervale/stand/forwarder"
 	"peppervale/tablewire"
@@ -60,21 +59,9 @@
 	defer engine.Stop()
 	loop := stand.NewLoop(now)
 	defer loop.Stop()
-	var all []*forwarder.Forwarder
 	began, start := time.Now(), cpu()
-	loop.Do(func() {
-		for k := range n {
-			f := forwarder.New(loop, engine, forwarder.Facts{Name: fmt.Sprint("listener-", k), Zone: "zone", Redial: fleet.Second, ConnectFor: 10 * fleet.Second,
-				StreamsOnly: true, Governors: []forwarder.Governor{{Name: "g", Address: server.Addr()}}}, 1, func(rules.Seen) {})
-			f.Start(nil)
-			all = append(all, f)
-		}
-	})
-	defer loop.Do(func() {
-		for _, f := range all {
-			f.Kill()
-		}
-	})
+	all, kill := listeners(loop, engine, n, server.Addr())
+	defer kill()
 	for range n {
 		select {
 		case <-c.joined:
