Nobody looks, nothing is copied: the time line reads the plain view; dead fields go

Cause: read once more, the console's sampler asked for a look each second, so the fleet was copied five times a second with nobody looking, against its own page.

--- a/channel/board.go
+++ b/channel/board.go
@@ -123,7 +123,7 @@
 	return t
 }
 
-// set changes a line and tells whether anything did.
+// set changes a line, or takes it out.
 func (t *table) set(r fleet.ReplicaID, weight float64) {
 	i, there := t.at[r]
 	switch {
--- a/channel/peer.go
+++ b/channel/peer.go
@@ -12,7 +12,7 @@
 	"peppervale/tablewire"
 )
 
-// words are the commands that a peer may send. Those marked quiet have no reply: a fault in one comes as an
+// words are the commands that a peer may send. ACK and SUMS have no reply: a fault in one comes as an
 // error and ends the connection.
 var words = map[string]func(*peer, []resp.Value) error{
 	"HELLO": (*peer).hello, "PING": (*peer).ping, "CLIENT": (*peer).client, "QUIT": (*peer).quit,
--- a/console/console.go
+++ b/console/console.go
@@ -23,20 +23,21 @@
 
 // Source is what the console reads; governor.Host and channel.Server are the real ones.
 type Source interface {
-	Watch() *governor.View
+	View() *governor.View  // costs nothing
+	Watch() *governor.View // asks for looks, for pages
 	Causes(most int, match func(*governor.Cause) bool) []governor.Cause
 	Stats() channel.Stats
 }
 
 // About is what does not change while a governor runs.
 type About struct {
-	Name, Listen string
-	Life         uint64
-	Zones        []string
-	Operations   []string
-	Settings     [][2]string // name and value, in the file's order
-	QueueMost    int
-	Now          func() fleet.Micros
+	Name       string
+	Life       uint64
+	Zones      []string
+	Operations []string
+	Settings   [][2]string // name and value, in the file's order
+	QueueMost  int
+	Now        func() fleet.Micros
 }
 
 // Bounds on viewers.
@@ -71,12 +72,9 @@
 
 // sample is a second on the time line.
 type sample struct {
-	At                                   fleet.Micros
-	Joined, Ready, Queue, Waiting        int
-	Messages, Lines, Folds, SumFolds     uint64
-	GateOpen                             bool
-	Steps                                uint64
-	Resting, Draining, Easing, Withdrawn int
+	At                        fleet.Micros
+	Joined, Ready, Queue      int
+	Messages, Lines, SumFolds uint64
 }
 
 // Listen opens the address and serves until Close.
@@ -127,24 +125,9 @@
 // sample costs a few figures a second; it does not ask for a look.
 func (s *Server) sample() {
 	st := s.from.Stats()
-	one := sample{At: s.about.Now(), Joined: st.Forwarders, Queue: st.Queue, Messages: st.Messages, Lines: st.Lines, Folds: st.Folds}
-	if v := s.view(); v != nil {
-		one.Ready, one.Waiting, one.GateOpen, one.Steps, one.SumFolds = v.Ready, v.Waiting, v.GateOpen, v.Steps, v.Folds
-		if v.Look != nil {
-			for _, r := range v.Look.Module.Replicas {
-				switch r.State {
-				case "resting":
-					one.Resting++
-				case "draining":
-					one.Draining++
-				case "easing":
-					one.Easing++
-				}
-				if r.Out {
-					one.Withdrawn++
-				}
-			}
-		}
+	one := sample{At: s.about.Now(), Joined: st.Forwarders, Queue: st.Queue, Messages: st.Messages, Lines: st.Lines}
+	if v := s.from.View(); v != nil {
+		one.Ready, one.SumFolds = v.Ready, v.Folds
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -154,8 +137,6 @@
 	}
 }
 
-func (s *Server) view() *governor.View { return s.from.Watch() }
-
 // page is what a template is given, and what JSON shows.
 type page struct {
 	Title string         `json:"title"`
@@ -169,7 +150,6 @@
 	View  *governor.View `json:"-"`
 	Stats channel.Stats  `json:"channel"`
 	Body  any            `json:"body"`
-	Trail []string       `json:"-"`
 }
 
 // errNone is a page about what is not there.
@@ -228,14 +208,14 @@
 		return
 	}
 	// The first to look for a while waits for a step that carries a look: five a second, if the governor steps at all.
-	v := s.view()
+	v := s.from.Watch()
 	for k := 0; k < 10 && (v == nil || v.Look == nil || s.about.Now()-v.Look.At > fleet.Second); k++ {
 		select {
 		case <-time.After(50 * time.Millisecond):
 		case <-r.Context().Done():
 			return
 		}
-		v = s.view()
+		v = s.from.Watch()
 	}
 	if v == nil || v.Look == nil {
 		head.Set("Retry-After", "1")
@@ -279,7 +259,7 @@
 
 // ready is for machines: the gate is open and the list is fresh.
 func (s *Server) ready(w http.ResponseWriter) {
-	v := s.view()
+	v := s.from.View()
 	switch {
 	case v == nil || !v.GateOpen:
 		s.fail(w, http.StatusServiceUnavailable, "the gate is shut")
@@ -316,7 +296,7 @@
 	for {
 		st, now := s.from.Stats(), s.about.Now()
 		text := fmt.Sprintf("%d forwarders, version %d, %d lines wait", st.Forwarders, st.Version, st.Queue)
-		if v := s.view(); v != nil {
+		if v := s.from.View(); v != nil {
 			gate := "shut"
 			if v.GateOpen {
 				gate = "open"
--- a/console/console_test.go
+++ b/console/console_test.go
@@ -220,6 +220,29 @@
 	}
 }
 
+// While nobody looks at a page, neither the time line nor a live stream nor readiness has the fleet copied.
+func TestNobodyLooks(t *testing.T) {
+	d := open(t, 6, 0)
+	for range 3 {
+		d.pages.sample()
+		if status, _, _ := d.get("/ready"); status != 503 { // no whole list came in this life
+			t.Fatalf("ready answers %d", status)
+		}
+	}
+	began := d.host.View().Steps
+	for until := time.Now().Add(10 * time.Second); d.host.View().Steps < began+5; time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatal("the governor takes no step")
+		}
+	}
+	if d.host.View().Look != nil {
+		t.Fatal("the fleet is copied though nobody looks")
+	}
+	if status, _, _ := d.get("/"); status != 200 || d.host.View().Look == nil {
+		t.Fatal("a page does not ask for a look")
+	}
+}
+
 // Live lines come, and streams beyond the bound are told to come back.
 func TestLive(t *testing.T) {
 	d := open(t, 6, 0)
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -64,7 +64,7 @@
 	log.Info().Str("governor", g.Name).Str("listen", server.Addr()).Uint64("life", life).Int("listed", len(cached)).Msg("serving")
 	go host.Run(server, list, cached)
 	if g.Console != "" {
-		about := console.About{Name: g.Name, Listen: server.Addr(), Life: life, Zones: g.Zones, Settings: g.InForce(), QueueMost: terms.QueueMost, Now: now}
+		about := console.About{Name: g.Name, Life: life, Zones: g.Zones, Settings: g.InForce(), QueueMost: terms.QueueMost, Now: now}
 		for _, o := range g.Operations {
 			about.Operations = append(about.Operations, o.Name)
 		}
--- a/day/frombench.go
+++ b/day/frombench.go
@@ -15,9 +15,9 @@
 	Traffic    struct{ Load float64 }
 	Clients    struct{ Retries int }
 	Discovery  struct {
-		Notice        float64
-		SilentNotice  float64 `json:"silent_notice"`
-		Add, Overbook float64
+		Notice       float64
+		SilentNotice float64 `json:"silent_notice"`
+		Add          float64
 	}
 	DrainGrace   float64 `json:"drain_grace"`
 	FallMultiple float64 `json:"fall_multiple"`
@@ -26,10 +26,10 @@
 		CrossZone float64 `json:"cross_zone"`
 	}
 	Classes []struct {
-		Name, Effect, Group       string
-		Share, Work, CV           float64
-		Aim, Deadline, Worth, Win float64
-		Window                    float64
+		Name, Effect, Group  string
+		Share, Work, CV      float64
+		Aim, Deadline, Worth float64
+		Window               float64
 	}
 	Tiers []struct {
 		Kinds []struct {
--- a/day/report.go
+++ b/day/report.go
@@ -52,7 +52,6 @@
 	Errored   int `json:"errored"`
 	TimedOut  int `json:"timed_out"`
 	CrossZone int `json:"cross_zone"`
-	Repeats   int `json:"dropped_as_repeats"`
 }
 
 // ChannelReport is what forwarders saw of the channel, and the governors' CPU.
--- a/governor/governor.go
+++ b/governor/governor.go
@@ -42,6 +42,7 @@
 	filled  fleet.Micros
 	open    bool
 	list    map[fleet.ReplicaID]fleet.Listing
+	ready   int // of them
 	listed  fleet.Micros
 	known   map[fleet.ProxyID]Forwarder
 	worst   fleet.Micros
@@ -209,6 +210,12 @@
 	for _, e := range n.entries {
 		h.list[e.ID] = e
 	}
+	h.ready = 0
+	for _, e := range h.list {
+		if e.Life == fleet.Ready {
+			h.ready++
+		}
+	}
 	if n.scope == fleet.Whole {
 		h.listed = now
 	}
@@ -224,12 +231,7 @@
 	h.batch = &channel.Batch{Receipt: -1}
 	h.steps++
 	h.worst = max(h.worst, h.now()-now)
-	v := &View{At: now, GateOpen: h.open, Joined: len(h.known), Listed: len(h.list), ListAt: h.listed, Steps: h.steps, WorstStep: h.worst}
-	for _, e := range h.list {
-		if e.Life == fleet.Ready {
-			v.Ready++
-		}
-	}
+	v := &View{At: now, GateOpen: h.open, Joined: len(h.known), Ready: h.ready, Listed: len(h.list), ListAt: h.listed, Steps: h.steps, WorstStep: h.worst}
 	h.mailbox.mu.Lock()
 	v.Waiting, v.Folds = len(h.mailbox.turn), h.mailbox.folds
 	h.mailbox.mu.Unlock()
--- a/governor/mailbox.go
+++ b/governor/mailbox.go
@@ -43,10 +43,9 @@
 }
 
 type folded struct {
-	sum    fleet.Sum
-	time   float64 // of the good tries together, microseconds
-	ready  bool    // its period has passed once: it waits for its turn only
-	report []float64
+	sum   fleet.Sum
+	time  float64 // of the good tries together, microseconds
+	ready bool    // its period has passed once: it waits for its turn only
 }
 
 func newMailbox() *mailbox {
@@ -126,7 +125,7 @@
 		f.sum.Span = max(f.sum.Span, n.Span)
 		f.time += float64(n.Tries-n.Errored) * float64(n.Latency)
 		if len(n.Report) > 0 {
-			f.report = n.Report
+			f.sum.Report = n.Report
 		}
 	}
 }
@@ -169,7 +168,6 @@
 		if good := f.sum.Tries - f.sum.Errored; good > 0 {
 			f.sum.Latency = fleet.Micros(f.time / float64(good))
 		}
-		f.sum.Report = f.report
 		t.sums = append(t.sums, f.sum)
 		delete(m.sums, k)
 	}
--- a/site/governor.go
+++ b/site/governor.go
@@ -9,8 +9,6 @@
 	"strings"
 	"time"
 
-	"github.com/zclconf/go-cty/cty"
-
 	"peppervale/fleet"
 )
 
@@ -143,26 +141,6 @@
 		JoinBurst: b.Whole("joins_burst", 50, 1, many), JoinMost: b.Whole("joined_most", 0, 0, many)}
 }
 
-// Governors reads the list governors, which may name a zone more than once.
-func (b *Block) Governors() (zones []string) {
-	v, at, ok := b.value("governors", true)
-	if !ok {
-		return nil
-	}
-	if !v.Type().IsTupleType() || v.LengthInt() == 0 {
-		b.r.fault(at, "governors: a list of zones is wanted, one for each governor")
-		return nil
-	}
-	for _, e := range v.AsValueSlice() {
-		if e.Type() != cty.String {
-			b.r.fault(at, "governors: a list of zones is wanted, one for each governor")
-			return nil
-		}
-		zones = append(zones, e.AsString())
-	}
-	return zones
-}
-
 // Address reads host:port on IPv4; port 0, any free one, only where that makes sense.
 func (b *Block) Address(name string, any bool) string {
 	text := b.Text(name, "")
--- a/site/reader.go
+++ b/site/reader.go
@@ -191,7 +191,18 @@
 }
 
 // Texts reads a list of strings, each once.
-func (b *Block) Texts(name string, needed bool) (all []string) {
+func (b *Block) Texts(name string, needed bool) []string { return b.texts(name, needed, true) }
+
+// Governors reads the list governors, a zone for each one, which may come again.
+func (b *Block) Governors() []string {
+	all := b.texts("governors", true, false)
+	if b.Has("governors") && len(all) == 0 {
+		b.Fault("governors", "governors: a list of zones is wanted, one for each governor")
+	}
+	return all
+}
+
+func (b *Block) texts(name string, needed, once bool) (all []string) {
 	v, at, ok := b.value(name, needed)
 	if !ok {
 		return nil
@@ -205,7 +216,7 @@
 			b.r.fault(at, "%s: a list of texts is wanted, [\"a\", \"b\"]", name)
 			return nil
 		}
-		if slices.Contains(all, e.AsString()) {
+		if once && slices.Contains(all, e.AsString()) {
 			b.r.fault(at, "%s: %q stands there twice; leave one out", name, e.AsString())
 		}
 		all = append(all, e.AsString())
--- a/stand/forwarder/forwarder.go
+++ b/stand/forwarder/forwarder.go
@@ -109,8 +109,6 @@
 
 	// Figures.
 	Messages, Bytes, Lines, Resyncs, Joins, Deferred int
-	Acked                                            fleet.Micros // when it last acknowledged
-	OnMessage                                        func(m *tablewire.Message)
 }
 
 type held struct{ life, version uint64 }
--- a/stand/forwarder/stream.go
+++ b/stand/forwarder/stream.go
@@ -209,9 +209,6 @@
 	if f.StallFor > 0 {
 		f.Stall(f.StallFor * fleet.Micros(len(m.Lines)))
 	}
-	if f.OnMessage != nil {
-		f.OnMessage(m)
-	}
 	f.run(func() { s.ack(m) })
 }
 
@@ -219,7 +216,6 @@
 	if s.f.Disobey.NeverAcks || m.Receipt < 0 || s.ended {
 		return
 	}
-	s.f.Acked = s.f.loop.Now()
 	_, _ = s.conn.Write(tablewire.AppendAck(nil, tablewire.Ack{Life: m.Life, Version: m.Version, Receipt: m.Receipt}))
 }
 
