Governors side by side, with what they disagree on; metrics; governors restarted twenty times

peppervale console asks the governors' consoles each second, keeps the last known view of one that no longer answers with its age and reason, and follows disagreements over time (a ledger free of I/O, seven kinds). console/frame holds the bounds on viewers that both consoles share. /metrics by client_golang.

--- a/command/command.go
+++ b/command/command.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/url"
 	"os"
 	"os/signal"
 	"path/filepath"
@@ -16,6 +17,7 @@
 
 	"github.com/rs/zerolog"
 
+	"peppervale/console/across"
 	"peppervale/daemon"
 	"peppervale/day"
 	"peppervale/governor"
@@ -33,6 +35,7 @@
 type Line struct {
 	Governor Governor `cmd:"" help:"Run a governor until a signal ends it."`
 	Check    Check    `cmd:"" help:"Read a governor's or a day's file, tell each fault with its place, start nothing."`
+	Console  Console  `cmd:"" help:"Show several governors side by side, from their own consoles."`
 	Day      Day      `cmd:"" help:"Play scripted days on loopback sockets."`
 	Stand    Stand    `cmd:"" help:"Run one stand-in, to try a governor by hand."`
 	Measure  Measure  `cmd:"" help:"Time parts of the program on this machine."`
@@ -83,6 +86,32 @@
 		Read: func() (*site.Governor, error) { return site.OpenGovernor(c.Config) }}, log)
 }
 
+// Console is peppervale console.
+type Console struct {
+	Governors []string `help:"Addresses of the governors' consoles, host:port or URL." required:""`
+	Listen    string   `help:"Where to serve." default:"127.0.0.1:7790"`
+}
+
+// Run is the command.
+func (c *Console) Run(ctx context.Context, out io.Writer) error {
+	if len(c.Governors) > 64 {
+		return fmt.Errorf("%w: %d governors; 64 are shown at most", ErrInput, len(c.Governors))
+	}
+	for _, g := range c.Governors {
+		if u, err := url.Parse(g); !strings.Contains(g, "://") && !strings.Contains(g, ":") || strings.Contains(g, "://") && (err != nil || u.Host == "") {
+			return fmt.Errorf("%w: --governors: %q is no host:port and no URL, as 127.0.0.1:7780 or http://127.0.0.1:7780", ErrInput, g)
+		}
+	}
+	pages, err := across.Listen(c.Listen, c.Governors, governor.Clock())
+	if err != nil {
+		return err
+	}
+	defer pages.Close()
+	fmt.Fprintf(out, "console of %d governors: http://%s\n", len(c.Governors), pages.Addr())
+	<-ctx.Done()
+	return nil
+}
+
 // Check is peppervale check.
 type Check struct {
 	File string `arg:"" help:"A governor's file or a day's." type:"existingfile"`
--- a/console/body.go
+++ b/console/body.go
@@ -49,7 +49,7 @@
 		return nil, errNone
 	}
 	m := p.View.Look.Module
-	o := overview{Gate: "shut", States: map[string]int{}, Ready: p.View.Ready, Joined: len(m.Proxies), List: ago(p.Now, p.View.ListAt), Stress: m.Stress, Pace: m.Pace,
+	o := overview{Gate: "shut", States: map[string]int{}, Ready: p.View.Ready, Joined: len(m.Proxies), List: Ago(p.Now, p.View.ListAt), Stress: m.Stress, Pace: m.Pace,
 		Queue: p.Stats.Queue, QueueMost: s.about.QueueMost, Unacked: m.Unacked, Worst: int64(p.View.WorstStep), Folds: p.View.Folds}
 	if m.Open {
 		o.Gate = "open"
@@ -103,15 +103,15 @@
 
 func (s *Server) row(p *page, r *decide.ReplicaView) replicaRow {
 	row := replicaRow{Address: tablewire.Address(r.ID), Zone: s.zone(r.Zone), Listed: "not listed", State: r.State, Out: r.Out, Cold: r.Cold, Part: r.Part, Rate: r.Rate,
-		Errors: r.Errors, Pace: r.Pace, Busy: r.Busy, Heard: ago(p.Now, r.HeardAt), Report: ago(p.Now, r.BusyAt), Lines: r.Lines, Rests: r.Rests, Started: "long ago"}
+		Errors: r.Errors, Pace: r.Pace, Busy: r.Busy, Heard: Ago(p.Now, r.HeardAt), Report: Ago(p.Now, r.BusyAt), Lines: r.Lines, Rests: r.Rests, Started: "long ago"}
 	if l, listed := p.View.Look.List[r.ID]; listed {
 		row.Listed = lives[l.Life]
 	}
 	if r.Out {
-		row.OutAgo = ago(p.Now, r.OutAt)
+		row.OutAgo = Ago(p.Now, r.OutAt)
 	}
 	if r.Since > 0 {
-		row.Started = ago(p.Now, r.Since)
+		row.Started = Ago(p.Now, r.Since)
 	}
 	return row
 }
@@ -212,9 +212,9 @@
 	var rows []forwarderRow
 	for _, x := range look.Module.Proxies {
 		f := look.Forwarders[x.ID]
-		row := forwarderRow{Name: f.Name, Number: int(x.ID), Zone: s.zone(x.Zone), Table: x.Table, Rate: x.Usual, Joined: ago(p.Now, f.JoinedAt), Unacked: x.Unacked}
+		row := forwarderRow{Name: f.Name, Number: int(x.ID), Zone: s.zone(x.Zone), Table: x.Table, Rate: x.Usual, Joined: Ago(p.Now, f.JoinedAt), Unacked: x.Unacked}
 		if x.Unacked > 0 {
-			row.Oldest = ago(p.Now, x.Oldest)
+			row.Oldest = Ago(p.Now, x.Oldest)
 		}
 		if rest == "" {
 			rows = append(rows, row)
@@ -330,7 +330,7 @@
 func (s *Server) causeRows(p *page, all []governor.Cause) []causeRow {
 	rows := make([]causeRow, 0, len(all))
 	for _, c := range all {
-		rows = append(rows, causeRow{c.Number, c.Life, ago(p.Now, c.At), c.Came, c.Said, c.Orders, c.Cut})
+		rows = append(rows, causeRow{c.Number, c.Life, Ago(p.Now, c.At), c.Came, c.Said, c.Orders, c.Cut})
 	}
 	return rows
 }
--- a/console/console.go
+++ b/console/console.go
@@ -1,14 +1,10 @@
 package console
 
 import (
-	"bytes"
-	"context"
 	"embed"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"html/template"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -17,6 +13,7 @@
 	"time"
 
 	"peppervale/channel"
+	"peppervale/console/frame"
 	"peppervale/fleet"
 	"peppervale/governor"
 )
@@ -43,32 +40,32 @@
 
 // Bounds on viewers.
 const (
-	requestsMost = 64  // pages in work at once; more are told to come back
-	streamsMost  = 256 // live streams
-	writeFor     = 5 * time.Second
-	pathMost     = 1024
-	rowsMost     = 5000 // of a table on one page
-	historyMost  = 900  // seconds on the time line
+	streamsMost = 256  // live streams
+	rowsMost    = 5000 // of a table on one page
+	historyMost = 900  // seconds on the time line
 )
 
 //go:embed pages.html
 var files embed.FS
 
-var pages = template.Must(template.New("").Funcs(template.FuncMap{"ago": ago, "share": percent, "figure": figure}).ParseFS(files, "pages.html"))
+// Style is the look of all consoles' pages.
+//
+//go:embed style.css
+var Style template.CSS
+
+var pages = template.Must(template.New("").Funcs(template.FuncMap{"share": percent, "figure": figure, "style": func() template.CSS { return Style }}).ParseFS(files, "pages.html"))
 
 // Server serves one governor's pages. Make it with Listen.
 type Server struct {
-	about   About
-	from    Source
-	http    *http.Server
-	address string
-	work    chan struct{}
-	done    chan struct{}
-	wait    sync.WaitGroup
+	about About
+	from  Source
+	frame *frame.Server
+	wait  sync.WaitGroup
 
 	mu      sync.Mutex
 	history []sample
 	streams int
+	metrics http.Handler
 }
 
 // sample is a second on the time line.
@@ -80,32 +77,22 @@
 
 // Listen opens the address and serves until Close.
 func Listen(address string, about About, from Source) (*Server, error) {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, fmt.Errorf("console: %w; another process may have the address", err)
+	s := &Server{about: about, from: from, metrics: newMetrics(about, from)}
+	var err error
+	if s.frame, err = frame.Listen(address, s.serve, s.live); err != nil {
+		return nil, err
 	}
-	s := &Server{about: about, from: from, address: l.Addr().String(), work: make(chan struct{}, requestsMost), done: make(chan struct{})}
-	s.http = &http.Server{Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: writeFor, IdleTimeout: time.Minute, MaxHeaderBytes: 16 << 10}
-	s.wait.Add(2)
-	go func() {
-		defer s.wait.Done()
-		_ = s.http.Serve(l)
-	}()
+	s.wait.Add(1)
 	go s.sampleOn()
 	return s, nil
 }
 
 // Addr is the address that it listens on.
-func (s *Server) Addr() string { return s.address }
+func (s *Server) Addr() string { return s.frame.Addr() }
 
 // Close ends it; live streams end too.
 func (s *Server) Close() {
-	close(s.done)
-	ctx, cancel := context.WithTimeout(context.Background(), writeFor)
-	defer cancel()
-	if s.http.Shutdown(ctx) != nil {
-		_ = s.http.Close()
-	}
+	s.frame.Close()
 	s.wait.Wait()
 }
 
@@ -115,7 +102,7 @@
 	defer tick.Stop()
 	for {
 		select {
-		case <-s.done:
+		case <-s.frame.Done:
 			return
 		case <-tick.C:
 			s.sample()
@@ -172,29 +159,6 @@
 }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
-	head := w.Header()
-	head.Set("Content-Security-Policy", "default-src 'none'; style-src 'unsafe-inline'; img-src 'self'; script-src 'unsafe-inline'; connect-src 'self'")
-	head.Set("X-Content-Type-Options", "nosniff")
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeFor))
-	switch {
-	case r.Method != http.MethodGet && r.Method != http.MethodHead:
-		http.Error(w, "this console is read only", http.StatusMethodNotAllowed)
-		return
-	case len(r.URL.Path) > pathMost:
-		http.Error(w, "a shorter address, please", http.StatusRequestURITooLong)
-		return
-	case r.URL.Path == "/live":
-		s.live(w, r)
-		return
-	}
-	select {
-	case s.work <- struct{}{}:
-		defer func() { <-s.work }()
-	default:
-		head.Set("Retry-After", "1")
-		http.Error(w, "many pages are being made; come back in a second", http.StatusServiceUnavailable)
-		return
-	}
 	first, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	switch {
 	case first == "plot":
@@ -203,10 +167,13 @@
 	case first == "ready" && rest == "":
 		s.ready(w)
 		return
+	case first == "metrics" && rest == "":
+		s.metrics.ServeHTTP(w, r)
+		return
 	}
 	route, known := routes[first]
 	if !known {
-		s.fail(w, http.StatusNotFound, "no page here; there are / /zones /replicas /forwarders /tables /orders /settings /before")
+		frame.Fail(w, http.StatusNotFound, "no page here; there are / /zones /replicas /forwarders /tables /orders /settings /before")
 		return
 	}
 	// The first to look for a while waits for a step that carries a look: five a second, if the governor steps at all.
@@ -220,43 +187,22 @@
 		v = s.from.Watch()
 	}
 	if v == nil || v.Look == nil {
-		head.Set("Retry-After", "1")
-		s.fail(w, http.StatusServiceUnavailable, "the governor has not finished a step since it started, or for a second; come back in a second")
+		w.Header().Set("Retry-After", "1")
+		frame.Fail(w, http.StatusServiceUnavailable, "the governor has not finished a step since it started, or for a second; come back in a second")
 		return
 	}
 	now := s.about.Now()
-	p := &page{Title: route.title, Kind: first, About: s.about, Name: s.about.Name, Life: s.about.Life, At: v.Look.At, Now: now, Age: ago(now, v.Look.At), View: v, Stats: s.from.Stats()}
+	p := &page{Title: route.title, Kind: first, About: s.about, Name: s.about.Name, Life: s.about.Life, At: v.Look.At, Now: now, Age: Ago(now, v.Look.At), View: v, Stats: s.from.Stats()}
 	body, err := route.make(s, p, rest, r)
 	if err != nil {
-		s.fail(w, http.StatusNotFound, err.Error())
+		frame.Fail(w, http.StatusNotFound, err.Error())
 		return
 	}
 	p.Body = body
-	var out bytes.Buffer
-	if r.URL.Query().Get("as") == "json" || strings.Contains(r.Header.Get("Accept"), "application/json") {
-		head.Set("Content-Type", "application/json")
-		encoder := json.NewEncoder(&out)
-		encoder.SetIndent("", " ")
-		err = encoder.Encode(p)
-	} else {
-		head.Set("Content-Type", "text/html; charset=utf-8")
-		if p.Kind == "" {
-			p.Kind = "overview"
-		}
-		err = pages.ExecuteTemplate(&out, "page", p)
+	if p.Kind == "" {
+		p.Kind = "overview"
 	}
-	if err != nil {
-		s.fail(w, http.StatusInternalServerError, "the page could not be made: "+err.Error())
-		return
-	}
-	head.Set("Cache-Control", "no-store")
-	_, _ = w.Write(out.Bytes())
-}
-
-func (s *Server) fail(w http.ResponseWriter, status int, why string) {
-	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	w.WriteHeader(status)
-	_, _ = fmt.Fprintln(w, why)
+	frame.Write(w, r, pages, p)
 }
 
 // ready is for machines: the gate is open and the list is fresh.
@@ -264,11 +210,11 @@
 	v := s.from.View()
 	switch {
 	case v == nil || !v.GateOpen:
-		s.fail(w, http.StatusServiceUnavailable, "the gate is shut")
+		frame.Fail(w, http.StatusServiceUnavailable, "the gate is shut")
 	case v.ListAt == 0:
-		s.fail(w, http.StatusServiceUnavailable, "no list came in this life")
+		frame.Fail(w, http.StatusServiceUnavailable, "no list came in this life")
 	default:
-		s.fail(w, http.StatusOK, "ready")
+		frame.Fail(w, http.StatusOK, "ready")
 	}
 }
 
@@ -282,7 +228,7 @@
 	s.mu.Unlock()
 	if full {
 		w.Header().Set("Retry-After", "5")
-		s.fail(w, http.StatusServiceUnavailable, "many viewers hold live streams; reload by hand")
+		frame.Fail(w, http.StatusServiceUnavailable, "many viewers hold live streams; reload by hand")
 		return
 	}
 	defer func() {
@@ -303,9 +249,9 @@
 			if v.GateOpen {
 				gate = "open"
 			}
-			text += fmt.Sprintf(", gate %s, %d of %d replicas ready, last step %s", gate, v.Ready, v.Listed, ago(now, v.At))
+			text += fmt.Sprintf(", gate %s, %d of %d replicas ready, last step %s", gate, v.Ready, v.Listed, Ago(now, v.At))
 		}
-		_ = control.SetWriteDeadline(time.Now().Add(writeFor))
+		_ = control.SetWriteDeadline(time.Now().Add(frame.WriteFor))
 		if _, err := fmt.Fprintf(w, "data: %s\n\n", text); err != nil || control.Flush() != nil {
 			return
 		}
@@ -313,13 +259,14 @@
 		case <-tick.C:
 		case <-r.Context().Done():
 			return
-		case <-s.done:
+		case <-s.frame.Done:
 			return
 		}
 	}
 }
 
-func ago(now, at fleet.Micros) string {
+// Ago tells how long ago something was, for a reader.
+func Ago(now, at fleet.Micros) string {
 	if at == 0 {
 		return "never"
 	}
--- a/day/day_test.go
+++ b/day/day_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -17,7 +18,9 @@
 	"github.com/rs/zerolog"
 	"go.uber.org/goleak"
 
+	"peppervale/console/across"
 	"peppervale/daemon"
+	"peppervale/governor"
 	"peppervale/rules"
 	"peppervale/site"
 	"peppervale/stand"
@@ -139,13 +142,13 @@
 				Step{Kind: "list_half", At: seconds(8), Lasts: seconds(2)}, Step{Kind: "list_back", At: seconds(11), Lasts: seconds(2)},
 				Step{Kind: "list_silent", At: seconds(14), Lasts: seconds(2)}, Step{Kind: "sums_late", At: seconds(5), Lasts: seconds(12), Size: 2})
 		},
-		"a governor restarts fourteen times at random moments": func(t *testing.T) {
+		"a governor restarts twenty times at random moments": func(t *testing.T) {
 			var steps []Step
 			chance := stand.NewChance(3, "restarts")
-			for at := 4.0; len(steps) < 14; at += chance.Between(0.5, 1.5) {
+			for at := 4.0; len(steps) < 20; at += chance.Between(0.5, 1.5) {
 				steps = append(steps, Step{Kind: []string{"governor_crash", "governor_roll"}[len(steps)%2], At: seconds(at), Lasts: seconds(chance.Between(0.05, 0.4)), Part: 0.5})
 			}
-			r := story(t, 26, two, 60, steps...)
+			r := story(t, 32, two, 60, steps...)
 			if r.Channel.Bound != 40 {
 				t.Errorf("%d of 40 bound at the end", r.Channel.Bound)
 			}
@@ -192,17 +195,32 @@
 // drive reads a day's progress and the console of its first governor, whose hall stays.
 func drive(lines chan string) error {
 	defer http.DefaultClient.CloseIdleConnections()
-	base := ""
+	consoles := map[string]string{}
+	var both *across.Server
 	for line := range lines {
-		if _, at, found := strings.Cut(line, "console of govan-1: "); found {
-			base = strings.TrimSpace(at)
+		if _, at, found := strings.Cut(line, "console of "); found {
+			name, address, _ := strings.Cut(at, ": ")
+			consoles[name] = strings.TrimSpace(address)
+			if len(consoles) == len(two) {
+				var err error
+				if both, err = across.Listen("127.0.0.1:0", []string{consoles["govan-1"], consoles["partick-2"]}, governor.Clock()); err != nil {
+					return err
+				}
+				defer both.Close()
+			}
 		}
 		if strings.Contains(line, "zone_loss") {
 			break
 		}
 	}
+	base := consoles["govan-1"]
 	get := func(path string) (int, string) {
-		r, err := http.Get(base + path)
+		if rest, side := strings.CutPrefix(path, "side by side"); side {
+			path = "http://" + both.Addr() + rest
+		} else {
+			path = base + path
+		}
+		r, err := http.Get(path)
 		if err != nil {
 			return 0, err.Error()
 		}
@@ -211,20 +229,43 @@
 		return r.StatusCode, string(text)
 	}
 	// The stand-ins lose five replicas and ten forwarders; five come back cold, after which fifteen serve and five ease in.
+	// The governor of the lost hall is shown as it was last known, and as a new life once it is back.
 	saw := map[string]bool{}
-	for until := time.Now().Add(14 * time.Second); time.Now().Before(until) && !(saw["lost"] && saw["back"]); time.Sleep(100 * time.Millisecond) {
-		for _, path := range []string{"/", "/zones", "/replicas", "/forwarders", "/tables", "/orders?about=partick", "/settings", "/plot/ready.svg"} {
+	life := uint64(0)
+	for until := time.Now().Add(14 * time.Second); time.Now().Before(until) && !(saw["lost"] && saw["back"] && saw["governor back"]); time.Sleep(100 * time.Millisecond) {
+		for _, path := range []string{"/", "/zones", "/replicas", "/forwarders", "/tables", "/orders?about=partick", "/settings", "/plot/ready.svg",
+			"side by side/", "side by side/replicas", "side by side/forwarders"} {
 			if status, text := get(path); status != 200 {
 				return fmt.Errorf("%s answers %d: %.200s", path, status, text)
 			}
 		}
-		_, text := get("/replicas?as=json")
+		var side struct {
+			Body struct {
+				Governors []struct {
+					Governor string
+					Error    string
+					Life     uint64
+				}
+			}
+		}
+		_, text := get("side by side/?as=json")
+		if err := json.Unmarshal([]byte(text), &side); err != nil || len(side.Body.Governors) != 2 {
+			return fmt.Errorf("side by side: %v: %.300s", err, text)
+		}
+		if g := side.Body.Governors[1]; g.Governor == "partick-2" {
+			saw["governor lost"] = saw["governor lost"] || g.Error != "" && g.Life > 0
+			saw["governor back"] = saw["governor back"] || saw["governor lost"] && g.Error == "" && g.Life > life
+			if !saw["governor lost"] {
+				life = g.Life
+			}
+		}
+		_, text = get("/replicas?as=json")
 		away, easing := strings.Count(text, `"state": "away"`), strings.Count(text, `"state": "easing"`)
 		saw["lost"] = saw["lost"] || away == 5
 		saw["back"] = saw["back"] || saw["lost"] && away == 0 && easing >= 5
 	}
-	if !saw["lost"] || !saw["back"] {
-		return fmt.Errorf("the console shows a hall lost: %v, and back cold: %v", saw["lost"], saw["back"])
+	if !saw["lost"] || !saw["back"] || !saw["governor back"] {
+		return fmt.Errorf("of a hall lost and back, cold, with its governor, the consoles show %v", saw)
 	}
 	return nil
 }
