--- a/channel/channel_test.go
+++ b/channel/channel_test.go
@@ -460,10 +460,17 @@
 	h := start(t, nil)
 	c, _ := join(t, h, "till")
 	done := make(chan struct{})
-	go func() { h.server.Farewell(200 * time.Millisecond); close(done) }()
+	go func() { h.server.Farewell(2 * time.Second); close(done) }()
 	if v, _ := c.next(); v.Kind != resp.Push || v.Items[0].Text != "elsewhere" {
 		t.Fatalf("at the end it is told %v", v)
 	}
+	// One that comes meanwhile is not taken in only to be sent away again: it is told when to come.
+	late := dial(t, h)
+	late.say(tablewire.AppendJoin(resp.AppendCommand(nil, "HELLO", "3"), tablewire.Join{Name: "late", Zone: "partick"}))
+	late.next()
+	if v, _ := late.next(); v.Kind != resp.Failure || !strings.HasPrefix(v.Text, "ENDING ") {
+		t.Fatalf("during the farewell a join is answered by %v", v)
+	}
 	c.conn.Close()
 	<-done
 }
--- a/channel/peer.go
+++ b/channel/peer.go
@@ -180,6 +180,12 @@
 		s.mu.Unlock()
 		return fmt.Errorf("JOIN: this connection has joined as %q", p.join.Name)
 	}
+	if !s.leaving.IsZero() {
+		p.join = j
+		s.refuse(p, fmt.Sprintf(ending+" this governor ends: join another, or here again in %d milliseconds; keep what you hold", s.back()))
+		s.mu.Unlock()
+		return nil
+	}
 	if v, after := s.gate.Join(s.line.Now(), j.Name, len(s.streams)); v != admission.Admit {
 		// Not a fault: the peer is told when to come, and ended so that it holds no place among the connections.
 		p.join = j
--- a/channel/server.go
+++ b/channel/server.go
@@ -121,6 +121,7 @@
 	lastID    uint64
 	stats     Stats
 	closing   bool
+	leaving   time.Time    // the farewell's end; zero: none has begun
 	unsent    atomic.Int64 // bytes that wait for all peers
 }
 
@@ -169,16 +170,23 @@
 	s.engine.Stop()
 }
 
+// backIn is when a governor that ends may be expected at its address again, after its farewell: a process is back in 20 ms
+// (measure restart), a start with a full journal takes 0.15 s.
+const backIn = 200 * time.Millisecond
+
 // Farewell tells forwarders to go elsewhere, in parts over the span, and waits for it to pass or for all to have
-// gone. It leaves the sockets open.
+// gone. From its beginning nobody joins any more: who tries is told when this address may answer again. A forwarder that has no
+// other governor may stay to the end. It leaves the sockets open.
 func (s *Server) Farewell(span time.Duration) {
 	const parts = 10
+	end := time.Now().Add(span)
 	for k := range parts {
 		s.mu.Lock()
+		s.leaving = end
 		for _, h := range s.board.holders {
 			if p := s.streams[h.proxy]; p != nil && int(p.stream%parts) == k {
-				b := resp.AppendHead(nil, resp.Push, 1)
-				s.write(p, resp.AppendBulk(b, "elsewhere"))
+				b := resp.AppendHead(nil, resp.Push, 2)
+				s.write(p, resp.AppendInt(resp.AppendBulk(b, "elsewhere"), s.back()))
 			}
 		}
 		left := len(s.board.holders)
@@ -194,6 +202,11 @@
 	}
 }
 
+// back is in how many milliseconds a governor that ends may be here again.
+func (s *Server) back() int64 {
+	return int64((max(0, time.Until(s.leaving)) + backIn) / time.Millisecond)
+}
+
 // SetBounds changes what peers may cost while the channel is in use; zero limits take the values of Ordinary. Peers that are
 // here stay, also beyond a smaller number.
 func (s *Server) SetBounds(l Limits, joins admission.Bounds) {
@@ -456,8 +469,11 @@
 	return resp.AppendBulk(resp.AppendBulk(resp.AppendBulk(b, "message"), topic), text)
 }
 
-// later begins the answer to a join that is put off.
-const later = "LATER"
+// later begins the answer to a join that is put off, ending to one that comes during the farewell.
+const (
+	later  = "LATER"
+	ending = "ENDING"
+)
 
 // topic is what observers subscribe to.
 const topic = "tables"
@@ -496,7 +512,7 @@
 		return
 	}
 	level := zerolog.WarnLevel
-	if strings.HasPrefix(why, later) { // no fault, and in a storm there are thousands
+	if strings.HasPrefix(why, later) || strings.HasPrefix(why, ending) { // no fault, and in a storm there are thousands
 		level = zerolog.DebugLevel
 	}
 	s.line.Log.WithLevel(level).Str("peer", p.conn.RemoteAddr().String()).Str("forwarder", p.join.Name).Str("why", why).Msg("connection ended")
--- a/command/command.go
+++ b/command/command.go
@@ -248,9 +248,37 @@
 // Measure is peppervale measure.
 type Measure struct {
 	Channel MeasureChannel `cmd:"" help:"Time the channel from Publish to the last receipt, beside plain sockets."`
+	Restart MeasureRestart `cmd:"" help:"Restart a governor under its forwarders, in four ways."`
 	Storm   MeasureStorm   `cmd:"" help:"Let many forwarders dial at once, with and without admission."`
 }
 
+// MeasureRestart is peppervale measure restart.
+type MeasureRestart struct {
+	Forwarders int `help:"How many." default:"400"`
+	Rounds     int `help:"Restarts of each way." default:"5"`
+}
+
+// Run is the command.
+func (c *MeasureRestart) Run(ctx context.Context, out io.Writer) error {
+	if c.Forwarders < 1 || c.Forwarders > 5000 || c.Rounds < 1 || c.Rounds > 1000 {
+		return fmt.Errorf("%w: 1 to 5000 forwarders and 1 to 1000 restarts are wanted", ErrInput)
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	var all []*measure.RestartFigures
+	for _, way := range measure.RestartWays {
+		f, err := measure.Restart(ctx, []string{self}, way, c.Forwarders, c.Rounds)
+		if err != nil {
+			return err
+		}
+		all = append(all, f)
+	}
+	measure.PrintRestarts(out, all)
+	return nil
+}
+
 // MeasureStorm is peppervale measure storm.
 type MeasureStorm struct {
 	Forwarders int       `help:"How many." default:"2000"`
--- a/daemon/daemon_test.go
+++ b/daemon/daemon_test.go
@@ -231,6 +231,8 @@
 	h := build(t, 2)
 	h.serve()
 	h.told("gate open")
+	var joined []struct{ Table int }
+	h.page("/forwarders?as=json", &joined, func() bool { return len(joined) == 2 && joined[0].Table == 0 && joined[1].Table == 0 })
 	var first orders
 	h.page("/orders?about=on+table&as=json", &first, func() bool { return len(first.Causes) > 0 })
 	h.end()
--- a/sockets/sockets.go
+++ b/sockets/sockets.go
@@ -30,26 +30,46 @@
 // Start makes and starts an engine; with no address it only dials. Errors are those of the addresses.
 func Start(pollers int, h Handlers, addresses ...string) (*nbio.Engine, error) {
 	quiet()
+	var listeners []*listener
+	listen := func(network, address string) (net.Listener, error) {
+		l, err := open(network, address)
+		if err != nil {
+			return nil, err
+		}
+		listeners = append(listeners, &listener{Listener: l, begun: make(chan struct{})})
+		return listeners[len(listeners)-1], nil
+	}
 	e := nbio.NewEngine(nbio.Config{Network: "tcp", Addrs: addresses, NPoller: pollers, Listen: listen})
-	if h.Open != nil {
-		e.OnOpen(func(c *nbio.Conn) {
+	ours := func(c *nbio.Conn) bool { _, is := c.Session().(*probe); return is }
+	e.OnOpen(func(c *nbio.Conn) {
+		if h.Open != nil && !ours(c) {
 			h.Open(c)
 			fence.Add(1)
-		})
-	}
-	if h.Data != nil {
-		e.OnData(func(c *nbio.Conn, data []byte) {
-			fence.Load()
+		}
+	})
+	e.OnData(func(c *nbio.Conn, data []byte) {
+		fence.Load()
+		if p, is := c.Session().(*probe); is {
+			p.once.Do(func() { close(p.begun) })
+		} else if h.Data != nil {
 			h.Data(c, data)
-		})
-	}
-	if h.Close != nil {
-		e.OnClose(h.Close)
-	}
+		}
+	})
+	e.OnClose(func(c *nbio.Conn, err error) {
+		if h.Close != nil && !ours(c) {
+			h.Close(c, err)
+		}
+	})
 	if h.Wrote != nil {
 		e.OnWrittenSize(func(c *nbio.Conn, _ []byte, n int) { h.Wrote(c, n) })
 	}
-	return e, e.Start()
+	if err := e.Start(); err != nil {
+		return nil, err
+	}
+	if err := awaitBegun(e, pollers, listeners); err != nil {
+		return nil, err // an engine that has not begun cannot be stopped either
+	}
+	return e, nil
 }
 
 // own makes a connection nbio's. nbio duplicates its descriptor without close-on-exec: a child process started
@@ -68,29 +88,6 @@
 	return c, nil
 }
 
-// listener hands nbio connections that own has made.
-type listener struct{ net.Listener }
-
-func (l listener) Accept() (net.Conn, error) {
-	for {
-		conn, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		if c, err := own(conn); err == nil {
-			return c, nil
-		}
-	}
-}
-
-func listen(network, address string) (net.Listener, error) {
-	l, err := net.Listen(network, address)
-	if err != nil {
-		return nil, err
-	}
-	return listener{l}, nil
-}
-
 // dialling bounds the dials in work of a process.
 var dialling = make(chan struct{}, 256)
 
--- a/sockets/sockets_test.go
+++ b/sockets/sockets_test.go
@@ -1,7 +1,13 @@
 package sockets
 
 import (
+	"fmt"
+	"io"
+	"net"
+	"os"
 	"os/exec"
+	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -9,7 +15,64 @@
 	"go.uber.org/goleak"
 )
 
-func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+func TestMain(m *testing.M) {
+	if address := os.Getenv("SOCKETS_ECHO_AT"); address != "" {
+		e, err := Start(1, Handlers{Data: func(c *nbio.Conn, data []byte) { _, _ = c.Write(data) }}, address)
+		if err != nil {
+			fmt.Println(err)
+			os.Exit(1)
+		}
+		_, _ = io.Copy(io.Discard, os.Stdin) // until whoever started it is done
+		e.Stop()
+		os.Exit(0)
+	}
+	goleak.VerifyTestMain(m)
+}
+
+// A dial that falls between two processes waits in the socket that whoever starts them holds, and the next process serves it. The
+// address is taken all the while, so a process that was not handed the socket is refused it.
+func TestASocketOutlivesItsProcess(t *testing.T) {
+	socket, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := socket.Addr().String()
+	held, err := socket.(*net.TCPListener).File()
+	socket.Close()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer held.Close()
+	if out, err := exec.Command("env", "SOCKETS_ECHO_AT="+address, os.Args[0]).CombinedOutput(); err == nil || !strings.Contains(string(out), "in use") {
+		t.Fatalf("without the socket: %v\n%s", err, out)
+	}
+	for range 3 {
+		conn, err := net.Dial("tcp", address) // nobody is there
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		_ = conn.SetDeadline(time.Now().Add(20 * time.Second))
+		if _, err := conn.Write([]byte("hello")); err != nil {
+			t.Fatal(err)
+		}
+		process := exec.Command("sh", "-c", `LISTEN_FDS=1 LISTEN_PID=$$ exec "$0"`, os.Args[0])
+		process.Env, process.ExtraFiles = append(os.Environ(), "SOCKETS_ECHO_AT="+address), []*os.File{held}
+		stay, err := process.StdinPipe()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := process.Start(); err != nil {
+			t.Fatal(err)
+		}
+		answer := make([]byte, 5)
+		_, err = io.ReadFull(conn, answer)
+		stay.Close()
+		if ended := process.Wait(); err != nil || string(answer) != "hello" || ended != nil {
+			t.Fatalf("%q, %v, %v", answer, err, ended)
+		}
+	}
+}
 
 // A child process started while a connection is open does not hold it: its end is seen when this side closes it.
 func TestChildrenInheritNoConnection(t *testing.T) {
@@ -74,3 +137,40 @@
 		t.Fatal("a refusal is told as a connection")
 	}
 }
+
+// An engine is stopped in the moment that it was started, over and over, while every core has other work: each ends.
+func TestStoppedAtOnce(t *testing.T) {
+	busy := make(chan struct{})
+	for range runtime.GOMAXPROCS(0) {
+		go func() {
+			for {
+				select {
+				case <-busy:
+					return
+				default:
+				}
+			}
+		}()
+	}
+	defer close(busy)
+	done := make(chan error, 1)
+	go func() {
+		for n := range 30 {
+			e, err := Start(1+n%3, Handlers{}, "127.0.0.1:0")
+			if err != nil {
+				done <- err
+				return
+			}
+			e.Stop()
+		}
+		done <- nil
+	}()
+	select {
+	case err := <-done:
+		if err != nil {
+			t.Fatal(err)
+		}
+	case <-time.After(60 * time.Second):
+		t.Fatal("an engine does not stop")
+	}
+}
--- a/stand/forwarder/stream.go
+++ b/stand/forwarder/stream.go
@@ -159,6 +159,10 @@
 			f.dialIn(fleet.Micros(wait) * fleet.Millisecond)
 			return
 		}
+		if n, _ := fmt.Sscanf(v.Text, "ENDING this governor ends: join another, or here again in %d ", &wait); n == 1 {
+			f.elsewhere(wait)
+			return
+		}
 		f.next++
 		f.redial()
 	case v.Kind == resp.Map:
@@ -177,11 +181,24 @@
 		if m, err := tablewire.Parse(v); err == nil {
 			s.message(m)
 		}
-	case v.Kind == resp.Push && len(v.Items) == 1 && v.Items[0].Text == "elsewhere":
-		s.end()
-		f.next++
+	case v.Kind == resp.Push && len(v.Items) == 2 && v.Items[0].Text == "elsewhere":
+		if len(f.Governors) > 1 { // who has no other stays until the connection ends: it then misses nothing meanwhile
+			s.end()
+			f.next++
+			f.redial()
+		}
+	}
+}
+
+// elsewhere goes to the next governor. If there is no other it comes back after the time told, spread by chance over twice
+// its usual wait.
+func (f *Forwarder) elsewhere(milliseconds int) {
+	f.next++
+	if len(f.Governors) > 1 || milliseconds < 0 || milliseconds >= 600_000 {
 		f.redial()
+		return
 	}
+	f.dialIn(fleet.Micros(milliseconds)*fleet.Millisecond + fleet.Micros(f.chance.Between(0, 2)*float64(max(f.Redial, fleet.Millisecond))))
 }
 
 // message takes a table message: in order it is applied, an old one only acknowledged, and after a gap a snapshot is
