--- a/decide/decide.go
+++ b/decide/decide.go
@@ -74,6 +74,7 @@
 	way                             fleet.Way // when proxies try again, as ordered
 	beaten, changed, askAll         bool      // the timer rang; a proxy or a state changed; all are to answer
 	blocked, rush                   bool      // withdrawals wait for room; binds come before them
+	why                             string    // of what is told next: the figure that passed its bound
 	shares, told                    []float64 // let in, by operation; as ordered
 	cheap                           []int     // operations, the one that brings least for its time first
 	came, rate                      float64   // tries since the last report; tries remembered, by time
@@ -150,8 +151,9 @@
 	apply(g, replicaMoves, &r.state, on, r)
 	g.changed = true
 	if from != r.state && on != listed { // hundreds of these would flood the log at start
-		g.host.Log(fmt.Sprintf("replica %v:%d zone %d %s", r.id.Addr, r.id.Port, r.zone, inputNames[on]))
+		g.host.Log(fmt.Sprintf("replica %v:%d zone %d %s%s", r.id.Addr, r.id.Port, r.zone, inputNames[on], g.why))
 	}
+	g.why = ""
 }
 
 // easeSpan is the design's default: a newly started replica reaches its full part after it.
@@ -385,6 +387,10 @@
 		due := r.all.tries / max(r.all.span, 1) * present * age
 		if bad || r.due > 0 && due >= 5 && age > usual {
 			out++
+			g.why = fmt.Sprintf(": not heard of for %.1f s, over %.1f, %.0f tries due", age/1e6, usual/1e6, due)
+			if bad {
+				g.why = fmt.Sprintf(": %.1f of %.1f tries errored, %.0f%% elsewhere", b.errored, b.tries, 100*others)
+			}
 			g.tell(r, failing)
 		}
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -63,6 +63,21 @@
 	})
 }
 
+// Whoever asks why a replica was withdrawn on judgement is told the figure that passed its bound, and it is told of no other step.
+func TestTheFigureIsTold(t *testing.T) {
+	h := warm(t, 8, nil)
+	h.run(4, func() {
+		h.heard(1, 10, 10, 0)
+		for n := 2; n <= 8; n++ {
+			h.heard(n, 10, 0, 100000)
+		}
+	})
+	h.gone(2)
+	all := strings.Join(h.said, "\n")
+	failIf(t, !strings.Contains(all, "zone 0 failing: ") || !strings.Contains(all, "tries errored, 0% elsewhere"), "told: %s", all)
+	failIf(t, !strings.Contains(all, "zone 0 gone\n") && !strings.HasSuffix(all, "zone 0 gone"), "told: %s", all)
+}
+
 func TestDrains(t *testing.T) {
 	h := warm(t, 8, nil)
 	t.Run("at once", func(t *testing.T) {
--- a/decide/host_test.go
+++ b/decide/host_test.go
@@ -9,6 +9,7 @@
 
 // fakeHost plays a fleet by hand: it keeps what was ordered and, where acks is set, acknowledges it at once.
 type fakeHost struct {
+	said    []string // the module's log
 	t       *testing.T
 	g       *Governor
 	now     fleet.Micros
@@ -62,7 +63,7 @@
 }
 func (h *fakeHost) Wake(after fleet.Micros) {}
 func (h *fakeHost) Follow()                 { h.follows++ }
-func (h *fakeHost) Log(text string)         {}
+func (h *fakeHost) Log(text string)         { h.said = append(h.said, text) }
 
 func failIf(t *testing.T, wrong bool, format string, args ...any) {
 	t.Helper()
