Read again: one set of listeners, one decode of a kept cause, unused names go

Found by reading the whole change once more; behaviour stays, and no test's assertion changed.

A cause from disk is decoded once, not twice.

--- a/channel/peer.go
+++ b/channel/peer.go
@@ -35,31 +35,26 @@
 		p.reply(resp.AppendLine(nil, resp.Failure, fmt.Sprintf("ERR unknown command '%.40s'; known are %s", name, strings.Join(known, ", "))))
 		return nil
 	}
-	if after, ok := p.mayAsk(); !ok {
-		p.server.putOff(p, after)
+	if p.putOff() {
 		return nil
 	}
 	return do(p, v.Items[1:])
 }
 
-func (p *peer) mayAsk() (after fleet.Micros, ok bool) {
+// putOff counts a command, and ends a peer that sends more than it may, with a time to come back: what it holds stays in force
+// meanwhile.
+func (p *peer) putOff() bool {
 	s := p.server
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	ok, after = p.meter.Take(s.line.Now(), s.line.Limits.Commands)
-	return after, ok
-}
-
-// putOff ends a peer that sends more than it may, with a time to come back: what it holds stays in force meanwhile.
-func (s *Server) putOff(p *peer, after fleet.Micros) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if p.ended.Load() {
-		return
+	rate := s.line.Limits.Commands
+	ok, after := p.meter.Take(s.line.Now(), rate)
+	if !ok && !p.ended.Load() {
+		s.stats.PutOff++
+		s.refuse(p, fmt.Sprintf(later+" %d milliseconds: %g commands a second are taken from one peer, %d at once; keep what you hold", after/fleet.Millisecond+1,
+			rate.PerSecond, rate.Burst))
 	}
-	s.stats.PutOff++
-	s.refuse(p, fmt.Sprintf(later+" %d milliseconds: %g commands a second are taken from one peer, %d at once; keep what you hold", after/fleet.Millisecond+1,
-		s.line.Limits.Commands.PerSecond, s.line.Limits.Commands.Burst))
+	return !ok
 }
 
 func (p *peer) reply(b []byte) {
--- a/channel/server.go
+++ b/channel/server.go
@@ -179,10 +179,11 @@
 // other governor may stay to the end. It leaves the sockets open.
 func (s *Server) Farewell(span time.Duration) {
 	const parts = 10
-	end := time.Now().Add(span)
+	s.mu.Lock()
+	s.leaving = time.Now().Add(span)
+	s.mu.Unlock()
 	for k := range parts {
 		s.mu.Lock()
-		s.leaving = end
 		for _, h := range s.board.holders {
 			if p := s.streams[h.proxy]; p != nil && int(p.stream%parts) == k {
 				b := resp.AppendHead(nil, resp.Push, 2)
--- a/console/across/compare.go
+++ b/console/across/compare.go
@@ -140,10 +140,9 @@
 				sides = append(sides, Side{s.Belief.Name, "never heard of it"})
 				continue
 			}
-			switch {
-			case r.Listed == "ready":
+			if r.Listed == "ready" {
 				ready++
-			default:
+			} else {
 				leaving++
 			}
 			if r.serves() {
--- a/console/across/pages.go
+++ b/console/across/pages.go
@@ -1,10 +1,11 @@
 package across
 
 import (
-	"cmp"
 	"embed"
 	"fmt"
 	"html/template"
+	"iter"
+	"maps"
 	"net/http"
 	"net/url"
 	"slices"
@@ -149,8 +150,8 @@
 	case "":
 		p.Title, p.Kind, p.Body = "Governors", "overview", s.overview(p.Now, seen)
 	case "replicas":
-		p.Title, p.Kind, p.Body = "Replicas, as each governor believes", "matrix", table(p.Now, seen, only, func(b *Belief) []string {
-			return keys(b.Replicas)
+		p.Title, p.Kind, p.Body = "Replicas, as each governor believes", "matrix", table(p.Now, seen, only, func(b *Belief) iter.Seq[string] {
+			return maps.Keys(b.Replicas)
 		}, func(b *Belief, address, about string) (cell, bool) {
 			r, known := b.Replicas[about]
 			says := r.State + ", listed " + r.Listed
@@ -160,8 +161,8 @@
 			return cell{Says: says, Link: address + "/replicas/" + url.PathEscape(about)}, known
 		})
 	case "forwarders":
-		p.Title, p.Kind, p.Body = "Forwarders, and where they are joined", "matrix", table(p.Now, seen, only, func(b *Belief) []string {
-			return keys(b.Forwarders)
+		p.Title, p.Kind, p.Body = "Forwarders, and where they are joined", "matrix", table(p.Now, seen, only, func(b *Belief) iter.Seq[string] {
+			return maps.Keys(b.Forwarders)
 		}, func(b *Belief, address, about string) (cell, bool) {
 			f, known := b.Forwarders[about]
 			says := "its own tables"
@@ -204,14 +205,7 @@
 	return o
 }
 
-func keys[V any](m map[string]V) (all []string) {
-	for k := range m {
-		all = append(all, k)
-	}
-	return all
-}
-
-func table(now fleet.Micros, seen []Seen, only string, of func(*Belief) []string, says func(b *Belief, address, about string) (cell, bool)) matrix {
+func table(now fleet.Micros, seen []Seen, only string, of func(*Belief) iter.Seq[string], says func(b *Belief, address, about string) (cell, bool)) matrix {
 	m := matrix{Governors: []string{}, Rows: []matrixRow{}}
 	names := map[string]bool{}
 	for _, g := range seen {
@@ -221,7 +215,7 @@
 			if now-g.At > freshFor {
 				head += ", " + console.Ago(now, g.At)
 			}
-			for _, n := range of(g.Belief) {
+			for n := range of(g.Belief) {
 				if strings.Contains(n, only) {
 					names[n] = true
 				}
@@ -229,8 +223,7 @@
 		}
 		m.Governors = append(m.Governors, head)
 	}
-	all := keys(names)
-	slices.SortFunc(all, func(a, b string) int { return cmp.Compare(a, b) })
+	all := slices.Sorted(maps.Keys(names))
 	if len(all) > rowsMost {
 		m.Cut, all = len(all)-rowsMost, all[:rowsMost]
 	}
--- a/daemon/archive.go
+++ b/daemon/archive.go
@@ -53,22 +53,19 @@
 	if len(found) >= most {
 		return found
 	}
-	var c governor.Cause
-	records, err := a.folder.Causes(a.life, oldest, most-len(found), func(r store.Record) bool {
-		c = governor.Cause{}
-		return json.Unmarshal(r.Body, &c) == nil && (match == nil || match(&c))
+	_, err := a.folder.Causes(a.life, oldest, most-len(found), func(r store.Record) bool {
+		var one governor.Cause
+		if json.Unmarshal(r.Body, &one) != nil || match != nil && !match(&one) {
+			return false
+		}
+		if r.Life != a.life {
+			one.Life = r.Life
+		}
+		found = append(found, one)
+		return true
 	})
 	if err != nil {
 		a.log.Warn().Err(err).Msg("the journal of causes on disk cannot be read")
 	}
-	for _, r := range records {
-		var one governor.Cause
-		if json.Unmarshal(r.Body, &one) == nil {
-			if r.Life != a.life {
-				one.Life = r.Life
-			}
-			found = append(found, one)
-		}
-	}
 	return found
 }
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -124,14 +124,6 @@
 // MayOrder tells whether this holder may order now.
 func (c *Claim) MayOrder(now fleet.Micros) bool { return c.holds && now < c.until }
 
-// Left is how long it may go on ordering; 0 or less: not at all.
-func (c *Claim) Left(now fleet.Micros) fleet.Micros {
-	if !c.holds {
-		return 0
-	}
-	return c.until - now
-}
-
 // Stop gives up what is held and gives the release, which may leave once no order is under way any more. Answers to asks before it
 // mean nothing from then on: the model found one that came twice and gave back what had been released.
 func (c *Claim) Stop(from Holder) Ask {
--- a/measure/channel.go
+++ b/measure/channel.go
@@ -35,12 +35,12 @@
 	RawCPU                    time.Duration
 }
 
-// listeners starts n forwarders that carry no invocations; kill ends them.
-func listeners(loop *stand.Loop, engine *nbio.Engine, n int, address string) (all []*forwarder.Forwarder, kill func()) {
+// listeners starts n forwarders that carry no invocations and have no other governor; kill ends them.
+func listeners(loop *stand.Loop, engine *nbio.Engine, n int, address string, redial fleet.Micros, seen func(rules.Seen)) (all []*forwarder.Forwarder, kill func()) {
 	loop.Do(func() {
 		for k := range n {
-			f := forwarder.New(loop, engine, forwarder.Facts{Name: fmt.Sprint("listener-", k), Zone: "zone", Redial: fleet.Second, ConnectFor: 10 * fleet.Second,
-				StreamsOnly: true, Governors: []forwarder.Governor{{Name: "g", Address: address}}}, 1, func(rules.Seen) {})
+			f := forwarder.New(loop, engine, forwarder.Facts{Name: fmt.Sprint("listener-", k), Zone: "zone", Redial: redial, ConnectFor: 10 * fleet.Second,
+				StreamsOnly: true, Governors: []forwarder.Governor{{Name: "g", Address: address}}}, 1, seen)
 			f.Start(nil)
 			all = append(all, f)
 		}
@@ -90,7 +90,7 @@
 	defer engine.Stop()
 	loop := stand.NewLoop(now)
 	defer loop.Stop()
-	_, kill := listeners(loop, engine, n, p.server.Addr())
+	_, kill := listeners(loop, engine, n, p.server.Addr(), fleet.Second, func(rules.Seen) {})
 	defer kill()
 	var orders []channel.Order
 	for k := range lines {
--- a/measure/restart.go
+++ b/measure/restart.go
@@ -22,8 +22,16 @@
 	"peppervale/stand/registry"
 )
 
-// RestartWays are how a governor can be restarted under its forwarders.
-var RestartWays = []string{"killed", "killed, socket held", "ended", "ended, socket held"}
+// RestartWay is how a governor is restarted under its forwarders.
+type RestartWay struct {
+	Name   string
+	signal syscall.Signal
+	held   bool // its listening socket outlives it
+}
+
+// RestartWays are all of them.
+var RestartWays = []RestartWay{{"killed", syscall.SIGKILL, false}, {"killed, socket held", syscall.SIGKILL, true}, {"ended", syscall.SIGTERM, false},
+	{"ended, socket held", syscall.SIGTERM, true}}
 
 // RestartFigures are of one way: how long each forwarder was without a stream.
 type RestartFigures struct {
@@ -76,7 +84,7 @@
 }
 
 // Restart restarts a governor's process so many times under n forwarders that have no other; program is the command that runs one.
-func Restart(ctx context.Context, program []string, way string, n, rounds int) (*RestartFigures, error) {
+func Restart(ctx context.Context, program []string, way RestartWay, n, rounds int) (*RestartFigures, error) {
 	now := governor.Clock()
 	dir, err := os.MkdirTemp("", "peppervale-restart-")
 	if err != nil {
@@ -96,7 +104,7 @@
 	}
 	address := socket.Addr().String()
 	r := &restarted{program: program, config: filepath.Join(dir, "governor.hcl")}
-	if way == "killed, socket held" || way == "ended, socket held" {
+	if way.held {
 		if r.held, err = socket.(*net.TCPListener).File(); err != nil {
 			return nil, err
 		}
@@ -116,20 +124,8 @@
 	}
 	defer r.end(syscall.SIGKILL)
 	g := &gaps{lost: map[string]fleet.Micros{}, up: map[string]bool{}}
-	var all []*forwarder.Forwarder
-	loop.Do(func() {
-		for k := range n {
-			f := forwarder.New(loop, engine, forwarder.Facts{Name: fmt.Sprint("listener-", k), Zone: "zone", Redial: 150 * fleet.Millisecond, ConnectFor: 5 * fleet.Second,
-				StreamsOnly: true, Governors: []forwarder.Governor{{Name: "g", Address: address}}}, uint64(k), g.seen)
-			f.Start(nil)
-			all = append(all, f)
-		}
-	})
-	defer loop.Do(func() {
-		for _, f := range all {
-			f.Kill()
-		}
-	})
+	_, kill := listeners(loop, engine, n, address, 150*fleet.Millisecond, g.seen)
+	defer kill()
 	everybody := func() error {
 		for until := time.Now().Add(30 * time.Second); g.joined() < n; time.Sleep(5 * time.Millisecond) {
 			if time.Now().After(until) || ctx.Err() != nil {
@@ -144,12 +140,8 @@
 	first := g.ups
 	var downs []time.Duration
 	for range rounds {
-		signal := syscall.SIGTERM
-		if way == "killed" || way == "killed, socket held" {
-			signal = syscall.SIGKILL
-		}
 		began := time.Now()
-		r.end(signal)
+		r.end(way.signal)
 		if err := r.start(ctx); err != nil {
 			return nil, err
 		}
@@ -163,7 +155,7 @@
 	slices.Sort(g.all)
 	slices.Sort(downs)
 	at := func(p float64) time.Duration { return g.all[int(p*float64(len(g.all)-1))].Duration() }
-	return &RestartFigures{Way: way, Forwarders: n, Rounds: rounds, Down: downs[len(downs)/2], P50: at(0.5), P99: at(0.99), Most: at(1),
+	return &RestartFigures{Way: way.Name, Forwarders: n, Rounds: rounds, Down: downs[len(downs)/2], P50: at(0.5), P99: at(0.99), Most: at(1),
 		Streams: float64(g.ups-first) / float64(n*rounds)}, nil
 }
 
--- a/measure/storm.go
+++ b/measure/storm.go
@@ -12,6 +12,7 @@
 	"peppervale/channel"
 	"peppervale/fleet"
 	"peppervale/governor"
+	"peppervale/rules"
 	"peppervale/stand"
 	"peppervale/stand/forwarder"
 	"peppervale/tablewire"
@@ -60,7 +61,7 @@
 	loop := stand.NewLoop(now)
 	defer loop.Stop()
 	began, start := time.Now(), cpu()
-	all, kill := listeners(loop, engine, n, server.Addr())
+	all, kill := listeners(loop, engine, n, server.Addr(), fleet.Second, func(rules.Seen) {})
 	defer kill()
 	for range n {
 		select {
--- a/sockets/inherit.go
+++ b/sockets/inherit.go
@@ -40,6 +40,3 @@
 	}
 	return net.Listen(network, address)
 }
-
-// Inherited tells whether the socket of an address was handed down.
-func Inherited(address string) bool { return inherited()[address] != nil }
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -384,7 +384,7 @@
 	case <-time.After(20 * time.Second):
 		return errors.New("nothing was told of a full disk")
 	}
-	if _, out := w.Written(); out < 100 {
+	if out := w.LeftOut(); out < 100 {
 		return fmt.Errorf("%d causes were left out, and at least 100 had no room", out)
 	}
 	c := &content{values: map[string][]byte{}}
--- a/store/writer.go
+++ b/store/writer.go
@@ -27,7 +27,6 @@
 	mu      sync.Mutex
 	pending Change
 	leftOut uint64
-	written uint64 // changes put down
 }
 
 // gather is how long changes are put down together: a sync takes some milliseconds, and a restart that lacks the last
@@ -60,11 +59,11 @@
 // Cause puts an entry of the journal down.
 func (w *Writer) Cause(r Record) { w.add(func(c *Change) { c.Causes = append(c.Causes, r) }) }
 
-// Written counts the changes put down; LeftOut the causes that no room was left for.
-func (w *Writer) Written() (changes, leftOut uint64) {
+// LeftOut counts the causes that no room was left for.
+func (w *Writer) LeftOut() uint64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.written, w.leftOut
+	return w.leftOut
 }
 
 // Close puts down what is left, with one try, and ends. It does not close the folder.
@@ -118,19 +117,14 @@
 			wait = min(2*wait, waitMost)
 		case err != nil:
 			failed, wait = true, waitFirst
-			w.tellNow(err)
+			w.tell(err, w.LeftOut())
 		case failed:
 			failed = false
-			w.tellNow(nil)
+			w.tell(nil, w.LeftOut())
 		}
 	}
 }
 
-func (w *Writer) tellNow(err error) {
-	_, out := w.Written()
-	w.tell(err, out)
-}
-
 // flush writes what is pending; what could not be written is pending again, unless newer came meanwhile.
 func (w *Writer) flush() error {
 	w.mu.Lock()
@@ -144,7 +138,6 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if err == nil {
-		w.written++
 		return nil
 	}
 	if w.pending.List == nil {
