Sockets: an engine's start finds each poller whatever descriptors are free

The wait for each poller's beginning made pairs of connections until each poller had one; where no gap is left among the descriptors, each pair falls on the same parity, so half of the pollers were never met and the process took all 20,000 descriptors. Change: the descriptor that leaves the poller's number is aimed at; the tries are bounded.

--- a/sockets/begun.go
+++ b/sockets/begun.go
@@ -54,18 +54,13 @@
 			return fmt.Errorf("sockets: an acceptor has not begun within %s", begunIn)
 		}
 	}
-	met := map[int]bool{} // pollers, which have connections by their descriptor's number
-	for len(met) < pollers {
-		c, far, err := pair()
+	for poller := range pollers {
+		c, far, err := pair(poller, pollers)
 		if err != nil {
 			return err
 		}
 		defer c.Close()
 		defer syscall.Close(far)
-		if met[c.Hash()%pollers] {
-			continue // both ends stay open, so the next one has another number
-		}
-		met[c.Hash()%pollers] = true
 		p := &probe{begun: make(chan struct{})}
 		c.SetSession(p)
 		if _, err := e.AddConn(c); err != nil {
@@ -83,8 +78,26 @@
 	return nil
 }
 
-// pair makes a connection whose far end is a plain descriptor.
-func pair() (c *nbio.Conn, far int, err error) {
+// pairTries bounds the tries at a descriptor's number while other goroutines take some too; each lost one needs such a taking in
+// the same moment.
+const pairTries = 1000
+
+// pair makes a connection of the given poller, whose far end is a plain descriptor. A poller has the connections whose descriptor,
+// over the number of pollers, leaves its own number, so the lowest free descriptors are filled up to one that does. Left to chance,
+// pairs fall on every second descriptor, and met every second poller only until the process had no descriptor left.
+func pair(poller, pollers int) (c *nbio.Conn, far int, err error) {
+	for range pairTries {
+		if c, far, err = someConn(poller, pollers); err != nil || c.Hash()%pollers == poller {
+			return c, far, err
+		}
+		_ = c.Close()
+		_ = syscall.Close(far)
+	}
+	return nil, 0, fmt.Errorf("sockets: no connection for poller %d of %d in %d tries", poller, pollers, pairTries)
+}
+
+// someConn makes a connection for the given poller unless the number is taken meanwhile.
+func someConn(poller, pollers int) (c *nbio.Conn, far int, err error) {
 	ends, err := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
 	if err != nil {
 		return nil, 0, err
@@ -93,11 +106,29 @@
 	conn, err := net.FileConn(file)
 	file.Close()
 	if err == nil {
-		c, err = own(conn)
+		err = fill(ends[1], poller, pollers, func() (err error) { c, err = own(conn); return err })
 	}
 	if err != nil {
-		syscall.Close(ends[1])
+		if conn != nil {
+			_ = conn.Close()
+		}
+		_ = syscall.Close(ends[1])
 		return nil, 0, err
 	}
 	return c, ends[1], nil
 }
+
+// fill calls then while the lowest free descriptor is one of the poller's.
+func fill(of, poller, pollers int, then func() error) error {
+	for {
+		fd, _, no := syscall.Syscall(syscall.SYS_FCNTL, uintptr(of), syscall.F_DUPFD_CLOEXEC, 0)
+		if no != 0 {
+			return no
+		}
+		if int(fd)%pollers == poller {
+			_ = syscall.Close(int(fd))
+			return then()
+		}
+		defer syscall.Close(int(fd))
+	}
+}
--- a/sockets/sockets_test.go
+++ b/sockets/sockets_test.go
@@ -7,7 +7,9 @@
 	"os"
 	"os/exec"
 	"runtime"
+	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -174,3 +176,46 @@
 		t.Fatal("an engine does not stop")
 	}
 }
+
+// A process whose descriptors are taken without a gap gives each pair of ours an even number, or each an odd one: an engine of
+// several pollers starts all the same. It once took every descriptor that there was, and failed.
+func TestStartedWithoutGaps(t *testing.T) {
+	highest := func() (most int) {
+		open, err := os.ReadDir("/proc/self/fd")
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, entry := range open {
+			if fd, err := strconv.Atoi(entry.Name()); err == nil && fd > most {
+				most = fd
+			}
+		}
+		return most
+	}
+	last := highest()
+	for fd := 0; fd <= last+1; { // the second round starts one number later
+		var err error
+		if fd, err = syscall.Dup(0); err != nil {
+			t.Fatal(err)
+		}
+		defer syscall.Close(fd)
+	}
+	for pollers := 1; pollers <= 5; pollers++ {
+		for range 2 {
+			before := highest()
+			e, err := Start(pollers, Handlers{})
+			if err != nil {
+				t.Fatalf("%d pollers: %v", pollers, err)
+			}
+			if after := highest(); after > before+100 {
+				t.Errorf("%d pollers: descriptors up to %d, %d before", pollers, after, before)
+			}
+			e.Stop()
+			fd, err := syscall.Dup(0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer syscall.Close(fd)
+		}
+	}
+}
