--- /dev/null
+++ b/assign/assign.go
@@ -0,0 +1,211 @@
+// Package assign decides which member of a group should hold which part of the fleet. It is free of I/O and of time of its own: the
+// group's leader calls Decide with what is agreed on and who seems alive, and has the moves agreed on in turn. Whether a holder may
+// order is not its business (package lease): a move that is late or wrong costs service, never a rule.
+//
+// Guarantees: a part is given to no member that is gone, leaving or without room for it; a member's loss moves its own parts and no
+// other; a member that is back gets nothing until it was there for Terms.Settle, and then one part each Terms.Pace; the same input
+// gives the same moves.
+//
+// Caveats: room is counted by the traffic that forwarders told as they joined, not by what they send. With no room left anywhere
+// a part stays with nobody, and its forwarders go on with what they hold.
+//
+// The rows, for each part; the first that fits counts:
+//
+//	state of the part                          input                            next       effect
+//	with nobody, or its member gone            a member with room               given      at once: there is nothing to lose
+//	its member leaving                         another with room                given      one each Pace from it
+//	moved by hand, its member there            any                              stays
+//	its member beyond its limit                another with room                given      one each Pace from it
+//	away from its zone                         a steady member there with room  given      one each Pace to it
+//	its member has more than another as near   a steady one, evener after       given      one each Pace to it
+package assign
+
+import (
+	"cmp"
+	"slices"
+
+	"peppervale/fleet"
+)
+
+// Terms are the group's settings.
+type Terms struct {
+	Settle fleet.Micros // that a member must have been there before parts are moved to it without need
+	Pace   fleet.Micros // between two moves from or to one member that nothing forces
+}
+
+// Member is one of the group, as the leader sees it.
+type Member struct {
+	Name, Zone string
+	Here       bool         // it renews, or seems alive
+	Since      fleet.Micros // Here
+	Leaving    bool         // told to give everything away
+	Limit      float64      // invocations a second that it may govern; 0: any
+}
+
+// Part is one part of the fleet. Wanted is the member that should hold it; "" for none.
+type Part struct {
+	Number int
+	Zone   string
+	Load   float64 // invocations a second that its forwarders told
+	Wanted string
+	ByHand bool // an operator put it where it is
+}
+
+// Move says who should hold a part from now on, and why.
+type Move struct {
+	Part     int
+	From, To string
+	Why      string
+}
+
+// Mover remembers when it last moved a part from or to a member. The zero Mover has moved nothing; a new leader's is one.
+type Mover struct {
+	touched map[string]fleet.Micros
+}
+
+// seat is a member with what it has by the moves so far.
+type seat struct {
+	*Member
+	load  float64
+	parts int
+}
+
+func (s *seat) room(load float64) bool { return s.Limit <= 0 || s.load+load <= s.Limit }
+
+// row is a line of the table above.
+type row struct {
+	why    string
+	fits   func(d *deal, p *Part, at *seat) bool
+	steady bool // to a member that was there for Settle
+	paced  bool
+	near   bool // only to the part's own zone
+	evener bool // only if the two are evener after
+}
+
+var rows = []row{
+	{why: "its member is gone", fits: func(_ *deal, _ *Part, at *seat) bool { return at == nil || !at.Here }},
+	{why: "its member is leaving", paced: true, fits: func(_ *deal, _ *Part, at *seat) bool { return at.Leaving }},
+	{why: "moved by hand", fits: func(_ *deal, p *Part, _ *seat) bool { return p.ByHand }},
+	{why: "its member is beyond its limit", paced: true, fits: func(_ *deal, _ *Part, at *seat) bool { return at.Limit > 0 && at.load > at.Limit }},
+	{why: "back to its zone", paced: true, steady: true, near: true, fits: func(_ *deal, p *Part, at *seat) bool { return at.Zone != p.Zone }},
+	{why: "evener", paced: true, steady: true, evener: true, fits: func(*deal, *Part, *seat) bool { return true }},
+}
+
+// deal is one call of Decide.
+type deal struct {
+	Terms
+	now   fleet.Micros
+	mover *Mover
+	seats []*seat
+	by    map[string]*seat
+}
+
+// Decide gives the moves of now.
+func (m *Mover) Decide(t Terms, now fleet.Micros, members []Member, parts []Part) (moves []Move) {
+	if m.touched == nil {
+		m.touched = map[string]fleet.Micros{}
+	}
+	d := &deal{Terms: t, now: now, mover: m, by: map[string]*seat{}}
+	for i := range members {
+		s := &seat{Member: &members[i]}
+		d.seats = append(d.seats, s)
+		d.by[s.Name] = s
+	}
+	slices.SortFunc(d.seats, func(a, b *seat) int { return cmp.Compare(a.Name, b.Name) })
+	for i := range parts {
+		if s := d.by[parts[i].Wanted]; s != nil {
+			s.load += parts[i].Load
+			s.parts++
+		}
+	}
+	order := make([]*Part, len(parts)) // the heaviest first, so that what is left is small enough to even things out
+	for i := range parts {
+		order[i] = &parts[i]
+	}
+	slices.SortStableFunc(order, func(a, b *Part) int {
+		return cmp.Or(cmp.Compare(b.Load, a.Load), cmp.Compare(a.Number, b.Number))
+	})
+	for i := range rows { // what is forced goes first, over all parts, and takes the room that there is
+		for _, p := range order {
+			if d.first(p) != &rows[i] {
+				continue
+			}
+			if to := d.target(&rows[i], p); to != nil {
+				moves = append(moves, d.move(&rows[i], p, to))
+			}
+		}
+	}
+	return moves
+}
+
+func (d *deal) first(p *Part) *row {
+	at := d.by[p.Wanted]
+	for i := range rows {
+		if rows[i].fits(d, p, at) {
+			return &rows[i]
+		}
+	}
+	return nil
+}
+
+// target is the best member for a part by a row: of its zone, then the one with the least load; nil for none.
+func (d *deal) target(r *row, p *Part) (best *seat) {
+	at := d.by[p.Wanted]
+	if r.why == "moved by hand" || r.paced && !d.due(at) {
+		return nil
+	}
+	for _, s := range d.seats {
+		switch {
+		case s == at || !s.Here || s.Leaving || !s.room(p.Load):
+		case r.steady && d.now-s.Since < d.Settle:
+		case r.paced && r.steady && !d.due(s):
+		case r.near && s.Zone != p.Zone:
+		case r.evener && (d.distance(s, p) > d.distance(at, p) || !evener(at, s, p)):
+		case best == nil || d.closer(s, best, p):
+			best = s
+		}
+	}
+	return best
+}
+
+// evener tells whether a move leaves the two members closer together. Parts without traffic count by their number.
+func evener(from, to *seat, p *Part) bool {
+	if p.Load > 0 {
+		return to.load+p.Load < from.load
+	}
+	return from.load == 0 && to.load == 0 && to.parts+1 < from.parts
+}
+
+func (d *deal) distance(s *seat, p *Part) int {
+	if s.Zone == p.Zone {
+		return 0
+	}
+	return 1
+}
+
+func (d *deal) closer(a, b *seat, p *Part) bool {
+	return cmp.Or(cmp.Compare(d.distance(a, p), d.distance(b, p)), cmp.Compare(a.load, b.load), cmp.Compare(a.parts, b.parts)) < 0
+}
+
+func (d *deal) due(s *seat) bool {
+	at, moved := d.mover.touched[s.Name]
+	return !moved || d.now-at >= d.Pace
+}
+
+func (d *deal) move(r *row, p *Part, to *seat) Move {
+	m := Move{Part: p.Number, From: p.Wanted, To: to.Name, Why: r.why}
+	if at := d.by[p.Wanted]; at != nil {
+		at.load -= p.Load
+		at.parts--
+		if r.paced {
+			d.mover.touched[at.Name] = d.now
+		}
+	}
+	if r.paced && r.steady {
+		d.mover.touched[to.Name] = d.now
+	}
+	to.load += p.Load
+	to.parts++
+	p.Wanted, p.ByHand = to.Name, false
+	return m
+}
--- /dev/null
+++ b/group/member.go
@@ -0,0 +1,255 @@
+package group
+
+import (
+	"cmp"
+	"slices"
+
+	"peppervale/assign"
+	"peppervale/fleet"
+	"peppervale/lease"
+)
+
+// Member is what one life of a member decides: what it asks for and gives up, when it may order, and, while it leads, who should hold
+// what. It is free of I/O; its caller carries proposals to the log and commands back from it, and calls Tick.
+//
+//	state of a part          input                                next       effect
+//	not held                 wanted here                          asked      in the next Renew, each Span/3, or Span/10 after a refusal
+//	asked                    granted                              held       Gained, once
+//	held                     Renew granted                        held       for another Span from the ask
+//	held                     wanted elsewhere                     given up   Lost, then a Release
+//	held                     its time is up                       not held   Lost
+//	held                     a newer form, or other settings      given up   Lost, no Release: what it would do is not known
+type Member struct {
+	Name   string
+	Life   uint64 // grows with each start, and differs between two processes that run under one name
+	Record Record
+	terms  Terms
+	reg    *Register
+	claims []lease.Claim
+	told   []uint64 // epoch in which Gained was told; 0: not held
+	load   func(part int) float64
+
+	askAt   fleet.Micros // the next Renew
+	asked   fleet.Micros // the newest one left
+	waits   bool         // for its answer
+	agreed  fleet.Micros // the newest Renew of this life came back from the log
+	refused bool
+	enrolAt fleet.Micros
+
+	mover  assign.Mover
+	here   map[string]fleet.Micros // since when, by this leader
+	planAt fleet.Micros            // a plan left: none before
+	led    uint64                  // term of the last Tick as leader
+}
+
+// NewMember makes one; load tells the traffic of a part that it holds, below 0 where it does not know.
+func NewMember(name string, life uint64, record Record, t Terms, load func(part int) float64) *Member {
+	record.Digest = t.Digest()
+	m := &Member{Name: name, Life: life, Record: record, terms: t, load: load, here: map[string]fleet.Micros{}}
+	m.Restore(NewRegister(t))
+	m.claims, m.told = make([]lease.Claim, len(m.reg.Parts)), make([]uint64, len(m.reg.Parts))
+	return m
+}
+
+// Restore takes a register from a snapshot. What is held goes on: its lease was granted to this life, whatever was agreed since.
+func (m *Member) Restore(r *Register) { m.reg = r }
+
+// Register is what the member knows to be agreed on; it is to be read under the caller's lock.
+func (m *Member) Register() *Register { return m.reg }
+
+// Applied takes a command of the log.
+func (m *Member) Applied(c *Command, term uint64, now fleet.Micros) {
+	if c.Kind == Lead && c.Form <= form {
+		m.reg.Term = term
+	}
+	for _, a := range m.reg.Apply(c, term) {
+		if c.Member != m.Name || c.Life != m.Life || a.Part >= len(m.claims) {
+			continue
+		}
+		m.claims[a.Part].Answered(m.terms.Lease, a.Answer)
+		m.waits = false
+		if !a.Granted {
+			m.refused = true
+		}
+	}
+	if c.Kind == Plan {
+		m.planAt = 0
+		if slices.ContainsFunc(c.Moves, func(mv assign.Move) bool { return mv.To == m.Name }) {
+			m.askAt = now // at once: the part may be free
+		}
+	}
+	if c.Kind == Release && c.Member != m.Name {
+		for _, a := range c.Asks {
+			if p := m.reg.part(a.Part); p != nil && p.Wanted == m.Name {
+				m.askAt, m.waits = now, false
+			}
+		}
+	}
+	if c.Kind == Renew && c.Member == m.Name && c.Life == m.Life {
+		m.agreed = now
+		if len(c.Asks) == 0 {
+			m.waits = false
+		}
+	}
+}
+
+// Holds tells whether this member may order for a part now, and in which epoch. It needs the caller's lock and may be called often.
+func (m *Member) Holds(part int, now fleet.Micros) (epoch uint64, ok bool) {
+	if part < 0 || part >= len(m.claims) || m.reg.Newer > 0 || m.OtherSettings() || !m.claims[part].MayOrder(now) {
+		return 0, false
+	}
+	return m.claims[part].Epoch, true
+}
+
+// Change is a part that a member holds from now on, or no longer (Epoch 0).
+type Change struct {
+	Part  int
+	Epoch uint64
+}
+
+// Tick gives what changed since the last one, and what is to be proposed once that was carried out: a Release may leave only when no
+// order is under way any more. alive tells what gossip believes of a member; nil: all are.
+func (m *Member) Tick(now fleet.Micros, leads bool, alive func(name string) bool) (changes []Change, proposals []*Command) {
+	var releases []PartAsk
+	for part := range m.claims {
+		if _, held := m.Holds(part, now); held && m.reg.Parts[part].Wanted != m.Name {
+			releases = append(releases, PartAsk{Part: part, Number: m.claims[part].Stop(lease.Holder{}).Number})
+		}
+		epoch, _ := m.Holds(part, now)
+		if epoch != m.told[part] {
+			m.told[part] = epoch
+			changes = append(changes, Change{part, epoch})
+		}
+	}
+	if m.reg.Newer > 0 || m.OtherSettings() {
+		return changes, nil
+	}
+	if len(releases) > 0 {
+		proposals = append(proposals, &Command{Form: form, Kind: Release, Member: m.Name, Life: m.Life, Asks: releases})
+	}
+	if s := m.reg.Member(m.Name); s == nil || s.Life != m.Life || s.Record != m.Record || s.Struck {
+		if c := m.enrol(now); c != nil {
+			proposals = append(proposals, c)
+		}
+		return changes, proposals
+	}
+	if c := m.renew(now); c != nil {
+		proposals = append(proposals, c)
+	}
+	if c := m.plan(now, leads, alive); c != nil {
+		proposals = append(proposals, c)
+	}
+	return changes, proposals
+}
+
+// enrol tells who this member is. Where a later life is on the register, another process runs under this name: this one holds nothing
+// any more once its leases end.
+func (m *Member) enrol(now fleet.Micros) *Command {
+	if now < m.enrolAt || m.Outranked() {
+		return nil
+	}
+	m.enrolAt = now + m.terms.Lease.Span/3
+	record := m.Record
+	return &Command{Form: form, Kind: Enrol, Member: m.Name, Life: m.Life, Record: &record}
+}
+
+// OtherSettings tells that the group was begun with settings that differ from this member's where all must be alike.
+func (m *Member) OtherSettings() bool { return m.reg.Digest != 0 && m.reg.Digest != m.Record.Digest }
+
+// Outranked tells that a later life of this member is on the register.
+func (m *Member) Outranked() bool {
+	s := m.reg.Member(m.Name)
+	return s != nil && s.Life > m.Life
+}
+
+func (m *Member) renew(now fleet.Micros) *Command {
+	span := m.terms.Lease.Span
+	if m.waits && now-m.asked < span/2 { // another ask would make the answer to this one worthless
+		return nil
+	}
+	if m.refused && !m.waits {
+		m.askAt = min(m.askAt, m.asked+span/10)
+	}
+	if now < m.askAt {
+		return nil
+	}
+	m.asked, m.askAt, m.waits, m.refused = now, now+span/3, true, false
+	c := &Command{Form: form, Kind: Renew, Member: m.Name, Life: m.Life}
+	for part, p := range m.reg.Parts {
+		if p.Wanted != m.Name || part >= len(m.claims) {
+			continue
+		}
+		load := -1.0
+		if _, held := m.Holds(part, now); held {
+			load = m.load(part)
+		}
+		c.Asks = append(c.Asks, PartAsk{Part: part, Number: m.claims[part].Ask(lease.Holder{}, now).Number, Load: load})
+	}
+	return c
+}
+
+// planFor is how long a leader waits for its own plan to be agreed on before it makes another.
+const planFor = fleet.Second
+
+// plan gives the leader's moves.
+func (m *Member) plan(now fleet.Micros, leads bool, alive func(string) bool) *Command {
+	if !leads || m.reg.Leader != m.Name {
+		return nil
+	}
+	if m.led != m.reg.Term { // a new leader has seen nobody yet
+		m.led, m.planAt = m.reg.Term, 0
+		m.mover, m.here = assign.Mover{}, map[string]fleet.Micros{}
+	}
+	if m.planAt > 0 && now-m.planAt < planFor {
+		return nil
+	}
+	var members []assign.Member
+	for _, s := range m.reg.Members {
+		a := assign.Member{Name: s.Name, Zone: s.Record.Zone, Limit: s.Record.Limit, Leaving: s.Leaving || s.Struck, Here: m.isHere(s, now, alive)}
+		since, was := m.here[s.Name]
+		switch {
+		case !a.Here:
+			delete(m.here, s.Name)
+		case !was:
+			since = now
+			m.here[s.Name] = now
+		}
+		a.Since = since
+		members = append(members, a)
+	}
+	var parts []assign.Part
+	for _, p := range m.reg.Parts {
+		parts = append(parts, assign.Part{Number: p.Number, Zone: p.Zone, Load: p.Load, Wanted: p.Wanted, ByHand: p.ByHand})
+	}
+	moves := m.mover.Decide(m.terms.Assign, now, members, parts)
+	if len(moves) == 0 {
+		return nil
+	}
+	m.planAt = now
+	return &Command{Form: form, Kind: Plan, Member: m.Name, Moves: moves}
+}
+
+// isHere tells whether the leader counts on a member. Renewals are the proof; gossip only shortens the wait: it may say that one is
+// gone whose renewal is due anyway, and never that one is here who doesn't renew.
+func (m *Member) isHere(s *MemberState, now fleet.Micros, alive func(string) bool) bool {
+	silent := now - s.Heard
+	span := m.terms.Lease.Span
+	if s.Struck || s.Record.Digest != m.reg.Digest || silent >= span+m.terms.Lease.Drift {
+		return false
+	}
+	return alive == nil || silent < span/2 || alive(s.Name)
+}
+
+// Missing tells why a part is without an order of its holder, for a reader; "" if it has one.
+func (m *Member) Missing(p *PartState) string {
+	s := m.reg.Member(p.Wanted)
+	switch {
+	case p.Wanted == "":
+		return "no member has room for it, or none is here"
+	case s == nil || s.Struck:
+		return "its member was struck off"
+	case m.reg.Holder(p) != p.Wanted:
+		return cmp.Or(m.reg.Whys[p.Number], "planned") + ": waits for " + cmp.Or(m.reg.Holder(p), "its member to ask")
+	}
+	return ""
+}
--- /dev/null
+++ b/group/member_test.go
@@ -0,0 +1,413 @@
+package group
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"peppervale/assign"
+	"peppervale/fleet"
+	"peppervale/lease"
+)
+
+var town = Terms{Lease: lease.Terms{Span: 2 * fleet.Second, Drift: 100 * fleet.Millisecond},
+	Assign: assign.Terms{Settle: 5 * fleet.Second, Pace: fleet.Second}, Zones: []string{"govan", "partick", "dalmarnock"}, PartsEach: 2}
+
+// circle is a group on a log in memory: agreed on at once, carried to each member unless it is cut off or down.
+type circle struct {
+	t       testing.TB
+	now     fleet.Micros
+	log     []entry
+	term    uint64
+	leader  int
+	members []*one
+}
+
+type entry struct {
+	c    Command
+	term uint64
+}
+
+// one is a member with what a log and a network would be to it.
+type one struct {
+	*Member
+	up, cut bool
+	at      int // entries that it has taken
+	lost    fleet.Micros
+	lives   uint64
+}
+
+func (o *one) clock(c *circle) fleet.Micros { return c.now - o.lost }
+
+func newCircle(t testing.TB, n int) *circle {
+	c := &circle{t: t, now: 1000 * fleet.Second}
+	for k := range n {
+		c.members = append(c.members, &one{})
+		c.start(k)
+	}
+	c.lead(0)
+	return c
+}
+
+func (c *circle) start(k int) {
+	o := c.members[k]
+	o.lives++
+	zone := town.Zones[k%len(town.Zones)]
+	o.Member = NewMember(fmt.Sprint("m", k), o.lives, Record{Zone: zone, Channel: fmt.Sprint("127.0.0.1:", 7700+k)}, town, func(int) float64 { return 10 })
+	o.up, o.at = true, 0
+}
+
+func (c *circle) lead(k int) {
+	c.term++
+	c.leader = k
+	c.log = append(c.log, entry{Command{Form: form, Kind: Lead, Member: fmt.Sprint("m", k), At: c.members[k].clock(c), Record: &Record{Digest: town.Digest()}}, c.term})
+}
+
+// majority tells whether anything can be agreed on.
+func (c *circle) majority() bool {
+	n := 0
+	for _, o := range c.members {
+		if o.up && !o.cut {
+			n++
+		}
+	}
+	l := c.members[c.leader]
+	return 2*n > len(c.members) && l.up && !l.cut
+}
+
+// step lets time pass, and every member do what it does; it judges who may order after each.
+func (c *circle) step(span fleet.Micros) {
+	c.now += span
+	if l := c.members[c.leader]; !l.up || l.cut {
+		for k, o := range c.members {
+			if o.up && !o.cut {
+				c.lead(k)
+				break
+			}
+		}
+	}
+	for k, o := range c.members {
+		if !o.up {
+			continue
+		}
+		c.carry(o)
+		_, proposals := o.Tick(o.clock(c), k == c.leader && !o.cut, func(name string) bool {
+			var i int
+			fmt.Sscanf(name, "m%d", &i)
+			return c.members[i].up && !c.members[i].cut
+		})
+		for _, p := range proposals {
+			if !o.cut && c.majority() {
+				p.At = c.members[c.leader].clock(c)
+				c.log = append(c.log, entry{*p, c.term})
+			}
+		}
+		c.judge()
+	}
+}
+
+func (c *circle) carry(o *one) {
+	for ; !o.cut && c.majority() && o.at < len(c.log); o.at++ {
+		e := c.log[o.at]
+		o.Applied(&e.c, e.term, o.clock(c))
+	}
+}
+
+func (c *circle) judge() {
+	for part := range c.members[0].reg.Parts {
+		holder, in := -1, uint64(0)
+		for k, o := range c.members {
+			if !o.up {
+				continue
+			}
+			if epoch, ok := o.Holds(part, o.clock(c)); ok {
+				if holder >= 0 {
+					c.t.Fatalf("at %d: m%d and m%d order for part %d, in epochs %d and %d", c.now, holder, k, part, in, epoch)
+				}
+				holder, in = k, epoch
+			}
+		}
+	}
+}
+
+func (c *circle) run(span fleet.Micros) {
+	for end := c.now + span; c.now < end; {
+		c.step(20 * fleet.Millisecond)
+	}
+}
+
+// held counts the parts that a member holds.
+func (c *circle) held(k int) (n int) {
+	o := c.members[k]
+	for part := range o.reg.Parts {
+		if _, ok := o.Holds(part, o.clock(c)); ok && o.up {
+			n++
+		}
+	}
+	return n
+}
+
+func (c *circle) want(counts ...int) {
+	c.t.Helper()
+	for k, n := range counts {
+		if got := c.held(k); got != n {
+			c.t.Fatalf("m%d holds %d parts, wanted %v", k, got, counts)
+		}
+	}
+}
+
+func TestEachHoldsItsZone(t *testing.T) {
+	for _, n := range []int{1, 3, 5} {
+		c := newCircle(t, n)
+		c.run(fleet.Second)
+		sum := 0
+		for k := range n {
+			sum += c.held(k)
+		}
+		if sum != 6 {
+			t.Errorf("%d members hold %d parts of 6", n, sum)
+		}
+	}
+}
+
+// A member dies: its parts are held by others once its leases are over, not before; what they held goes on.
+func TestAMemberIsLost(t *testing.T) {
+	c := newCircle(t, 3)
+	c.run(5 * fleet.Second)
+	c.want(2, 2, 2)
+	c.members[2].up = false
+	c.run(town.Lease.Span/2 + town.Lease.Drift)
+	c.want(2, 2)
+	c.run(2 * town.Lease.Span)
+	c.want(3, 3)
+	if e := c.members[0].reg.Events; e[len(e)-1].Planned || e[len(e)-1].From != "m2" {
+		t.Errorf("the time line ends with %+v", e[len(e)-1])
+	}
+	c.start(2)
+	c.run(town.Assign.Settle - fleet.Second)
+	c.want(3, 3, 0)
+	c.run(5 * fleet.Second)
+	c.want(2, 2, 2)
+}
+
+// The leader dies: another counts all leases anew; what the others hold goes on without a break.
+func TestTheLeaderIsLost(t *testing.T) {
+	c := newCircle(t, 3)
+	c.run(5 * fleet.Second)
+	c.members[0].up = false
+	for range 100 {
+		c.step(20 * fleet.Millisecond)
+		if c.held(1) < 2 || c.held(2) < 2 {
+			t.Fatal("a member lost its parts with the leader")
+		}
+	}
+	c.run(3 * fleet.Second)
+	c.want(0, 3, 3)
+}
+
+// A member is cut off from the others: it goes on to the end of its leases and then stops, before anybody else is granted. The two
+// sides believe different things of who holds what all the while.
+func TestCutOff(t *testing.T) {
+	c := newCircle(t, 3)
+	c.run(5 * fleet.Second)
+	c.members[1].cut = true
+	c.run(town.Lease.Span / 2)
+	c.want(2, 2, 2)
+	c.run(2 * town.Lease.Span)
+	c.want(3, 0, 3)
+	c.members[1].cut = false
+	c.run(10 * fleet.Second)
+	c.want(2, 2, 2)
+}
+
+// A majority is lost: the rest orders to the end of its leases and then nothing; with the majority back it all goes on.
+func TestAMajorityIsLost(t *testing.T) {
+	c := newCircle(t, 3)
+	c.run(5 * fleet.Second)
+	c.members[0].up, c.members[1].up = false, false
+	c.run(town.Lease.Span / 2)
+	c.want(0, 0, 2)
+	c.run(town.Lease.Span)
+	c.want(0, 0, 0)
+	c.start(0)
+	c.start(1)
+	c.run(15 * fleet.Second)
+	c.want(2, 2, 2)
+}
+
+// A process stands still for longer than a lease and goes on: it finds its leases over by the clock that went on, before it orders.
+func TestAProcessThatStood(t *testing.T) {
+	c := newCircle(t, 3)
+	c.run(5 * fleet.Second)
+	stood := c.members[2]
+	stood.up = false
+	c.run(3 * town.Lease.Span)
+	stood.up = true
+	c.judge()
+	c.want(3, 3, 0)
+	c.run(15 * fleet.Second)
+	c.want(2, 2, 2)
+}
+
+// A member that is cut off has a clock that loses all that is allowed, whenever the cut falls between its renewals and those of others.
+func TestAClockThatLosesTheDrift(t *testing.T) {
+	for phase := range 40 {
+		c := newCircle(t, 3)
+		c.run(5*fleet.Second + fleet.Micros(phase)*20*fleet.Millisecond)
+		c.members[1].cut = true
+		c.run(town.Lease.Span / 4)
+		c.members[1].lost += town.Lease.Drift
+		c.run(3 * fleet.Second)
+		c.want(3, 0, 3)
+	}
+}
+
+// An operator has a member give everything away: each part changes hands in a planned move, with no time without a holder but that
+// of two entries in the log.
+func TestALeavingMember(t *testing.T) {
+	c := newCircle(t, 3)
+	c.run(10 * fleet.Second)
+	c.log = append(c.log, entry{Command{Form: form, Kind: Leave, Member: "m1", On: true, At: c.now}, c.term})
+	without := fleet.Micros(0)
+	for c.held(1) > 0 || without == 0 {
+		c.step(20 * fleet.Millisecond)
+		if c.held(0)+c.held(1)+c.held(2) < 6 {
+			without += 20 * fleet.Millisecond
+		}
+		if c.now > 1100*fleet.Second {
+			t.Fatal("it keeps some")
+		}
+	}
+	c.run(fleet.Second)
+	c.want(3, 0, 3)
+	if without > 400*fleet.Millisecond {
+		t.Errorf("%d us with a part that nobody holds, for two moves", without)
+	}
+	for _, e := range c.members[0].reg.Events[6:] {
+		if !e.Planned {
+			t.Errorf("%+v", e)
+		}
+	}
+}
+
+// Two processes run under one name: the later life takes over, the other one gives up and holds nothing.
+func TestTwiceTheSameMember(t *testing.T) {
+	c := newCircle(t, 3)
+	c.run(5 * fleet.Second)
+	old := c.members[1]
+	c.members = append(c.members, &one{lives: old.lives})
+	twin := c.members[3]
+	c.start(3)
+	twin.Member = NewMember("m1", 2, Record{Zone: "partick", Channel: "127.0.0.1:7800"}, town, func(int) float64 { return 10 })
+	c.run(3 * town.Lease.Span)
+	c.want(2, 0, 2, 2)
+	if !old.Outranked() || twin.Outranked() {
+		t.Error("the later life is to stay")
+	}
+}
+
+// The others run a newer program, which agrees on what this one does not know: it stops, and takes no snapshot of it.
+func TestAnOldProgram(t *testing.T) {
+	c := newCircle(t, 3)
+	c.run(5 * fleet.Second)
+	c.members[1].Applied(&Command{Form: form + 1, Kind: 99}, c.term, c.now)
+	c.want(2, 0, 2)
+	if _, err := c.members[1].Register().Bytes(); err == nil {
+		t.Error("a snapshot of what is not known")
+	}
+	c.run(10 * fleet.Second)
+	c.want(3, 0, 3)
+}
+
+// A member with other settings is on the register and is given nothing: it would count other parts.
+func TestOtherSettings(t *testing.T) {
+	c := newCircle(t, 3)
+	other := town
+	other.PartsEach = 3
+	c.members[2].Member = NewMember("m2", 5, Record{Zone: "dalmarnock"}, other, func(int) float64 { return 1 })
+	c.run(10 * fleet.Second)
+	c.want(3, 3, 0)
+}
+
+func TestTheRegisterComesBack(t *testing.T) {
+	c := newCircle(t, 3)
+	c.run(5 * fleet.Second)
+	b, err := c.members[0].reg.Bytes()
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := ReadRegister(b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	again, _ := r.Bytes()
+	if string(again) != string(b) || *r.Parts[3] != *c.members[0].reg.Parts[3] {
+		t.Error("a register from a snapshot is another one")
+	}
+	for n := range len(b) { // cut anywhere it is refused, and nothing falls over
+		if _, err := ReadRegister(b[:n]); err == nil {
+			t.Fatalf("%d bytes of %d are taken", n, len(b))
+		}
+	}
+}
+
+// Commands of a leader that was replaced come to nothing: its clock is not the one that the leases now count by.
+func TestAnOldLeadersStamp(t *testing.T) {
+	c := newCircle(t, 3)
+	c.run(5 * fleet.Second)
+	c.lead(1)
+	c.run(100 * fleet.Millisecond)
+	m := c.members[0]
+	before := *m.reg.Parts[0]
+	m.Applied(&Command{Form: form, Kind: Renew, Member: "m1", Life: 1, Asks: []PartAsk{{Part: 0, Number: 9}}, At: c.now + 3600*fleet.Second}, c.term-1, c.now)
+	if *m.reg.Parts[0] != before {
+		t.Error("a stamp of another clock was taken for one of this leader's")
+	}
+}
+
+// Whatever fails in whatever order, with clocks that lose up to the drift: never two at once (judged in each step), and with all
+// back and some time, each part is held.
+func TestWhateverFails(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		c := newCircle(t, rapid.SampledFrom([]int{1, 2, 3, 5}).Draw(rt, "members"))
+		for range rapid.IntRange(1, 20).Draw(rt, "events") {
+			k := rapid.IntRange(0, len(c.members)-1).Draw(rt, "member")
+			o := c.members[k]
+			switch rapid.IntRange(0, 6).Draw(rt, "what") {
+			case 0:
+				o.up = false
+			case 1:
+				if !o.up {
+					c.start(k)
+				}
+			case 2:
+				o.cut = !o.cut
+			case 3:
+				if !o.cut && o.up {
+					c.lead(k)
+				}
+			case 4:
+				// What a clock may lose within a lease; more time passes before the next.
+				c.run(town.Lease.Span)
+				o.lost += fleet.Micros(rapid.IntRange(0, int(town.Lease.Drift)/2).Draw(rt, "loses"))
+				c.run(town.Lease.Span)
+			default:
+				c.run(fleet.Micros(rapid.IntRange(0, 3000).Draw(rt, "ms")) * fleet.Millisecond)
+			}
+		}
+		for k, o := range c.members {
+			if o.cut = false; !o.up {
+				c.start(k)
+			}
+		}
+		c.run(20 * fleet.Second)
+		sum := 0
+		for k := range c.members {
+			sum += c.held(k)
+		}
+		if sum != 6 {
+			rt.Fatalf("%d parts of 6 are held", sum)
+		}
+	})
+}
--- /dev/null
+++ b/group/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package group
+
+func init() { underRace = true }
--- /dev/null
+++ b/group/register.go
@@ -0,0 +1,325 @@
+package group
+
+import (
+	"fmt"
+	"hash/fnv"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"peppervale/assign"
+	"peppervale/fleet"
+	"peppervale/lease"
+)
+
+// form is that of commands and snapshots. One of a higher form stops this program: it cannot know what the others agreed on.
+const form = 1
+
+// Kind says what a command does.
+type Kind uint8
+
+// The commands, and who proposes them.
+const (
+	Lead    Kind = iota + 1 // a new leader: leases count anew, by its clock
+	Enrol                   // a member tells who it is, in each of its lives
+	Renew                   // a member asks for parts and goes on with those that it has; without any, it says that it is here
+	Release                 // a member has stopped ordering for parts
+	Plan                    // the leader says who should hold parts
+	Leave                   // an operator has a member give everything away, or take again
+	Strike                  // an operator takes a member that is gone off the register
+)
+
+// Command is an entry of the agreed log.
+type Command struct {
+	Form   uint8
+	Kind   Kind
+	At     fleet.Micros // the leader's clock; it stamps each
+	Member string
+	Life   uint64
+	Record *Record       `cbor:",omitempty"`
+	Asks   []PartAsk     `cbor:",omitempty"`
+	Moves  []assign.Move `cbor:",omitempty"`
+	ByHand bool
+	On     bool
+}
+
+// PartAsk is one part of a Renew or Release.
+type PartAsk struct {
+	Part   int
+	Number uint32
+	Load   float64 // Renew: what its joined forwarders told, invocations a second; below 0: not known
+}
+
+// Record is what a member tells of itself.
+type Record struct {
+	Zone    string
+	Channel string // where forwarders join
+	Request string // where members and operators ask
+	Limit   float64
+	Digest  uint64 // of the settings that all have alike
+}
+
+// MemberState is a member on the register.
+type MemberState struct {
+	Name    string
+	Life    uint64
+	Record  Record
+	Heard   fleet.Micros // its newest Renew, by the leader's clock
+	Leaving bool
+	Struck  bool // its place, and so its number in leases, is never given again
+}
+
+// PartState is a part on the register.
+type PartState struct {
+	Number int
+	Zone   string
+	Lease  lease.Part
+	Wanted string
+	ByHand bool
+	Load   float64
+}
+
+// Event is an entry of the time line: a grant to another holder than before, or to another life of it.
+type Event struct {
+	At       fleet.Micros // the leader's clock
+	Leader   string
+	Part     int
+	Epoch    uint64
+	From, To string
+	Planned  bool // the one before had released it
+	Why      string
+}
+
+// eventsMost bounds the time line: some screens of it, and a snapshot of some ten kilobytes.
+const eventsMost = 200
+
+// Register is what a group has agreed on. It is free of I/O: the same commands in the same order give the same register.
+type Register struct {
+	Form    uint8
+	Digest  uint64 // of the settings of the first leader; a member with others holds nothing
+	Span    fleet.Micros
+	Drift   fleet.Micros
+	Leader  string
+	Term    uint64 // in which it announced itself
+	Members []*MemberState
+	Parts   []*PartState
+	Events  []Event
+	Whys    map[int]string // of the newest plan of a part that is not held as wanted yet
+	Newer   uint8          // the form of a command that this program does not know; nothing counts after it
+}
+
+// NewRegister is the register of a group that has agreed on nothing.
+func NewRegister(t Terms) *Register {
+	r := &Register{Form: form, Span: t.Lease.Span, Drift: t.Lease.Drift, Whys: map[int]string{}}
+	for _, zone := range t.Zones {
+		for range t.PartsEach {
+			r.Parts = append(r.Parts, &PartState{Number: len(r.Parts), Zone: zone})
+		}
+	}
+	return r
+}
+
+// Terms are the settings that all members have alike.
+type Terms struct {
+	Lease     lease.Terms
+	Assign    assign.Terms
+	Zones     []string
+	PartsEach int // of each zone
+}
+
+// Digest tells settings apart: a member with others is not enrolled.
+func (t Terms) Digest() uint64 {
+	h := fnv.New64a()
+	fmt.Fprintf(h, "%d %v %v %q %d", form, t.Lease, t.Assign, t.Zones, t.PartsEach)
+	return h.Sum64()
+}
+
+// PartOf gives a forwarder's part: of its zone, then by its name.
+func (t Terms) PartOf(zone int, name string) int {
+	h := fnv.New32a()
+	h.Write([]byte(name))
+	x := h.Sum32()
+	x ^= x >> 16 // names that differ in their last digit only fall on few of the low bits
+	x *= 0x45d9f3b
+	x ^= x >> 16
+	return zone*t.PartsEach + int(x%uint32(t.PartsEach))
+}
+
+// Answered is what a Renew brought for one part.
+type Answered struct {
+	Part int
+	lease.Answer
+}
+
+// Apply takes a command that was agreed on in a raft term, and gives the answers to a Renew.
+func (r *Register) Apply(c *Command, term uint64) []Answered {
+	if r.Newer == 0 && c.Form > form {
+		r.Newer = c.Form
+	}
+	if r.Newer > 0 || c.Kind != Lead && term != r.Term {
+		return nil // stamped by a clock that this term has not announced
+	}
+	if row := table[c.Kind]; row != nil {
+		return row(r, c)
+	}
+	return nil
+}
+
+// table is what each command does to the register.
+var table = map[Kind]func(*Register, *Command) []Answered{
+	Lead: func(r *Register, c *Command) []Answered {
+		r.Leader = c.Member
+		if r.Digest == 0 && c.Record != nil {
+			r.Digest = c.Record.Digest
+		}
+		for _, p := range r.Parts {
+			p.Lease.Lead(c.At)
+		}
+		for _, m := range r.Members {
+			m.Heard = c.At
+		}
+		return nil
+	},
+	Enrol: func(r *Register, c *Command) []Answered {
+		if c.Record == nil {
+			return nil
+		}
+		m := r.Member(c.Member)
+		if m == nil {
+			m = &MemberState{Name: c.Member}
+			r.Members = append(r.Members, m)
+		}
+		if c.Life >= m.Life { // else it is late, or of a second process under the same name
+			m.Life, m.Record, m.Heard, m.Struck = c.Life, *c.Record, c.At, false
+		}
+		return nil
+	},
+	Renew: func(r *Register, c *Command) (answers []Answered) {
+		m, number := r.number(c)
+		if m == nil {
+			return nil
+		}
+		m.Heard = c.At
+		for _, a := range c.Asks {
+			p := r.part(a.Part)
+			if p == nil {
+				continue
+			}
+			from, epoch := p.Lease.Holder, p.Lease.Epoch
+			answer := p.Lease.Apply(r.terms(), lease.Ask{From: lease.Holder{Member: number, Life: c.Life}, Number: a.Number}, c.At)
+			if answer.Granted && a.Load >= 0 {
+				p.Load = a.Load
+			}
+			if answer.Epoch > epoch {
+				r.granted(c, p, from)
+			}
+			answers = append(answers, Answered{a.Part, answer})
+		}
+		return answers
+	},
+	Release: func(r *Register, c *Command) []Answered {
+		if _, number := r.number(c); number > 0 {
+			for _, a := range c.Asks {
+				if p := r.part(a.Part); p != nil {
+					p.Lease.Release(lease.Ask{From: lease.Holder{Member: number, Life: c.Life}, Number: a.Number})
+				}
+			}
+		}
+		return nil
+	},
+	Plan: func(r *Register, c *Command) []Answered {
+		for _, m := range c.Moves {
+			if p := r.part(m.Part); p != nil && r.Member(m.To) != nil {
+				p.Wanted, p.ByHand = m.To, c.ByHand
+				r.Whys[m.Part] = m.Why
+			}
+		}
+		return nil
+	},
+	Leave: func(r *Register, c *Command) []Answered {
+		if m := r.Member(c.Member); m != nil {
+			m.Leaving = c.On
+		}
+		return nil
+	},
+	Strike: func(r *Register, c *Command) []Answered {
+		if m := r.Member(c.Member); m != nil {
+			m.Struck = true
+		}
+		return nil
+	},
+}
+
+func (r *Register) terms() lease.Terms { return lease.Terms{Span: r.Span, Drift: r.Drift} }
+
+// Member gives a member by its name; nil for none.
+func (r *Register) Member(name string) *MemberState {
+	for _, m := range r.Members {
+		if m.Name == name {
+			return m
+		}
+	}
+	return nil
+}
+
+func (r *Register) part(number int) *PartState {
+	if number < 0 || number >= len(r.Parts) {
+		return nil
+	}
+	return r.Parts[number]
+}
+
+// number gives a command's member and its number in leases, if the command is of the newest life of one that is not struck.
+func (r *Register) number(c *Command) (*MemberState, uint16) {
+	for i, m := range r.Members {
+		if m.Name == c.Member && m.Life == c.Life && !m.Struck {
+			return m, uint16(i + 1)
+		}
+	}
+	return nil, 0
+}
+
+// Holder is who a lease names; "" for nobody.
+func (r *Register) Holder(p *PartState) string {
+	if n := int(p.Lease.Holder.Member); n > 0 && n <= len(r.Members) {
+		return r.Members[n-1].Name
+	}
+	return ""
+}
+
+func (r *Register) granted(c *Command, p *PartState, from lease.Holder) {
+	e := Event{At: c.At, Leader: r.Leader, Part: p.Number, Epoch: p.Lease.Epoch, To: c.Member, Planned: from == lease.Holder{}, Why: r.Whys[p.Number]}
+	if from.Member > 0 {
+		e.From = r.Members[from.Member-1].Name
+	}
+	if e.From == e.To {
+		e.Why = "a new life of the same member"
+	}
+	delete(r.Whys, p.Number)
+	if len(r.Events) >= eventsMost {
+		r.Events = append(r.Events[:0], r.Events[1:]...)
+	}
+	r.Events = append(r.Events, e)
+}
+
+// Bytes is the register as a snapshot has it.
+func (r *Register) Bytes() ([]byte, error) {
+	if r.Newer > 0 {
+		return nil, fmt.Errorf("group: a command of form %d is agreed on, this program knows %d: no snapshot of what it does not know", r.Newer, form)
+	}
+	return cbor.Marshal(r)
+}
+
+// ReadRegister reads a snapshot.
+func ReadRegister(b []byte) (*Register, error) {
+	r := &Register{}
+	if err := cbor.Unmarshal(b, r); err != nil {
+		return nil, fmt.Errorf("group: a snapshot that cannot be read: %w", err)
+	}
+	if r.Form > form {
+		return nil, fmt.Errorf("group: a snapshot of form %d, this program knows %d: update it", r.Form, form)
+	}
+	if r.Whys == nil {
+		r.Whys = map[int]string{}
+	}
+	return r, nil
+}
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -43,15 +43,15 @@
 // one had ordered.
 type Holder struct {
 	Member uint16
-	Life   uint32
+	Life   uint64 // it grows with each
 }
 
 // Part is what is agreed on about one part of the fleet. The zero Part is free and was never held.
 type Part struct {
-	Epoch  uint64 // of the newest grant; it only grows
-	Holder Holder // of it; the zero Holder: free
-	number uint32 // of the holder's newest ask
-	at     fleet.Micros
+	Epoch   uint64       // of the newest grant; it only grows
+	Holder  Holder       // of it; the zero Holder: free
+	Number  uint32       // of the holder's newest ask
+	Renewed fleet.Micros // by the leader's clock
 }
 
 // Ask is a holder's message: for a part or, if it holds it, to go on. Number tells asks of one holder apart.
@@ -71,24 +71,24 @@
 // Apply takes an ask, agreed on, at a time of the leader's clock.
 func (p *Part) Apply(t Terms, a Ask, now fleet.Micros) Answer {
 	mine := p.Holder == a.From
-	if !mine && p.Holder != (Holder{}) && now-p.at < t.Span+t.Drift {
+	if !mine && p.Holder != (Holder{}) && now-p.Renewed < t.Span+t.Drift {
 		return Answer{To: a.From, Number: a.Number}
 	}
 	if !mine {
 		p.Epoch++
-		p.Holder, p.number = a.From, 0
+		p.Holder, p.Number = a.From, 0
 	}
-	p.at, p.number = now, max(p.number, a.Number)
+	p.Renewed, p.Number = now, max(p.Number, a.Number)
 	return Answer{To: a.From, Number: a.Number, Granted: true, Epoch: p.Epoch}
 }
 
 // Lead begins a leader's time. It knows nothing of when leases were renewed, by its own clock, so it counts them from now.
-func (p *Part) Lead(now fleet.Micros) { p.at = now }
+func (p *Part) Lead(now fleet.Micros) { p.Renewed = now }
 
 // Release takes a holder's word that it has stopped: nobody need wait for the lease to run out. Of anybody else it means nothing, nor if
 // the holder has asked anew since it said so.
 func (p *Part) Release(a Ask) {
-	if p.Holder == a.From && p.number < a.Number {
+	if p.Holder == a.From && p.Number < a.Number {
 		p.Holder = Holder{}
 	}
 }
@@ -124,6 +124,14 @@
 // MayOrder tells whether this holder may order now.
 func (c *Claim) MayOrder(now fleet.Micros) bool { return c.holds && now < c.until }
 
+// Left is for how long this holder may still order, without another renewal.
+func (c *Claim) Left(now fleet.Micros) fleet.Micros {
+	if !c.MayOrder(now) {
+		return 0
+	}
+	return c.until - now
+}
+
 // Stop gives up what is held and gives the release, which may leave once no order is under way any more. Answers to asks before it
 // mean nothing from then on: the model found one that came twice and gave back what had been released.
 func (c *Claim) Stop(from Holder) Ask {
--- a/lease/model_test.go
+++ b/lease/model_test.go
@@ -37,7 +37,7 @@
 	now     fleet.Micros // of the register's clock
 	part    Part
 	claims  [members]Claim
-	lives   [members]uint32
+	lives   [members]uint64
 	lost    [members]uint8 // ticks that its clock has lost
 	asks    [flying]Ask
 	answers [flying]Answer
