Governors take over: leases and epochs on the channel, the fence at forwarders, commands, page

Need: a governor that is lost leaves its forwarders on old tables until they find another, and nothing kept two from ordering one forwarder. Change: each message carries its part's epoch and leaves only while the lease runs; JOIN is answered MOVED by who does not hold the part; a forwarder takes nothing older, says so, and tries nothing again that may have run until the new holder has ordered. A plan made at once gave the first to start the whole fleet; now it waits half a lease.

--- a/channel/peer.go
+++ b/channel/peer.go
@@ -17,7 +17,7 @@
 var words = map[string]func(*peer, []resp.Value) error{
 	"HELLO": (*peer).hello, "PING": (*peer).ping, "CLIENT": (*peer).client, "QUIT": (*peer).quit,
 	"SUBSCRIBE": (*peer).subscribe, "UNSUBSCRIBE": (*peer).unsubscribe,
-	"JOIN": (*peer).joinWord, "ACK": (*peer).ack, "SUMS": (*peer).sumsWord, "RESYNC": (*peer).resync,
+	"JOIN": (*peer).joinWord, "ACK": (*peer).ack, "SUMS": (*peer).sumsWord, "RESYNC": (*peer).resync, "FENCED": (*peer).fenced,
 }
 
 func (p *peer) take(v resp.Value) error {
@@ -181,6 +181,17 @@
 		s.mu.Unlock()
 		return nil
 	}
+	epoch := uint64(0)
+	if s.line.Leases != nil {
+		p.join, p.part = j, s.line.Leases.Part(zone, j.Name)
+		held, ok := s.line.Leases.Holds(p.part)
+		if !ok || held < j.Epoch {
+			s.moved(p)
+			s.mu.Unlock()
+			return nil
+		}
+		epoch = held
+	}
 	if v, after := s.gate.Join(s.line.Now(), j.Name, len(s.streams)); v != admission.Admit {
 		// Not a fault: the peer is told when to come, and ended so that it holds no place among the connections.
 		p.join = j
@@ -206,10 +217,11 @@
 	p.join, p.zone, p.proxy, p.stream = j, zone, number, s.lastID
 	s.streams[number] = p
 	_ = p.conn.SetReadDeadline(time.Time{})
-	b := resp.AppendHead(nil, resp.Map, 3)
+	b := resp.AppendHead(nil, resp.Map, 4)
 	b = resp.AppendInt(resp.AppendBulk(b, "life"), int64(s.board.life))
 	b = resp.AppendInt(resp.AppendBulk(b, "version"), int64(s.board.version))
 	b = resp.AppendInt(resp.AppendBulk(b, "period"), int64(s.line.Period))
+	b = resp.AppendInt(resp.AppendBulk(b, "epoch"), int64(epoch))
 	s.write(p, b)
 	s.mu.Unlock()
 	s.events.Joined(number, p.stream, j, zone)
@@ -254,6 +266,19 @@
 	return nil
 }
 
+// fenced takes a forwarder's word that it did not obey a message, as it has seen a newer epoch.
+func (p *peer) fenced([]resp.Value) error {
+	if err := p.joined(); err != nil {
+		return err
+	}
+	s := p.server
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stats.Fenced++
+	s.line.Log.Warn().Str("forwarder", p.join.Name).Int("part", p.part).Msg("a forwarder has seen a newer epoch and did not obey")
+	return nil
+}
+
 // resync sends a snapshot anew, once a second at most: a forwarder in a loop costs no more than that.
 func (p *peer) resync([]resp.Value) error {
 	if err := p.joined(); err != nil {
--- a/channel/server.go
+++ b/channel/server.go
@@ -74,10 +74,19 @@
 	Pace     float64      // lines a second
 	Limits   Limits
 	Joins    admission.Bounds // how many may join; zero: all
+	Leases   Leases           // nil: this governor may order whoever joins
 	Now      func() fleet.Micros
 	Log      zerolog.Logger
 }
 
+// Leases says which forwarders a governor may order, where governors share the fleet out in parts. It is asked for each message as it
+// leaves, under the server's lock: it must not call back.
+type Leases interface {
+	Part(zone int, name string) int         // of a forwarder
+	Holds(part int) (epoch uint64, ok bool) // now
+	Holder(part int) (channel string)       // address of who should hold it; "": this one, or not known
+}
+
 // Stats are figures since the start, and of now.
 type Stats struct {
 	Forwarders  int    `json:"forwarders"`
@@ -98,6 +107,8 @@
 	Storms      uint64 `json:"join_storms"`
 	Unsent      int64  `json:"unsent_bytes"`
 	PutOff      uint64 `json:"put_off"` // peers that sent more commands than they may
+	Moved       uint64 `json:"moved"`   // peers told that another governor has their part
+	Fenced      uint64 `json:"fenced"`  // messages that forwarders did not take, as their epoch was old
 }
 
 // Server is a governor's channel. Make it with Listen.
@@ -313,11 +324,57 @@
 		s.line.Log.Warn().Str("forwarder", p.join.Name).Msg("reads slowly: its changes fold into a snapshot")
 		return
 	}
+	if s.line.Leases != nil {
+		epoch, ok := s.line.Leases.Holds(p.part)
+		if !ok {
+			s.moved(p)
+			return
+		}
+		m.Epoch = epoch
+	}
 	s.stats.Messages++
 	s.stats.Lines += uint64(m.Cost)
 	s.write(p, tablewire.Append(nil, m))
 }
 
+// moved ends a peer whose part this governor does not hold, and says who should.
+func (s *Server) moved(p *peer) {
+	if p.ended.Load() {
+		return
+	}
+	s.stats.Moved++
+	if to := s.line.Leases.Holder(p.part); to != "" {
+		s.refuse(p, fmt.Sprintf(movedTo+" %d %s: join there; keep what you hold", p.part, to))
+	} else {
+		s.refuse(p, fmt.Sprintf(movedTo+" %d - : nobody has it yet, ask again in %d milliseconds; keep what you hold", p.part, againIn/time.Millisecond))
+	}
+}
+
+// againIn is when a part that nobody holds is worth asking for again: a lease changes hands in some multiples of it.
+const againIn = 100 * time.Millisecond
+
+// Lost ends the streams of a part that this governor holds no longer. When it returns no message for the part is under way.
+func (s *Server) Lost(part int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.streams {
+		if p.part == part {
+			s.moved(p)
+		}
+	}
+}
+
+// Loads gives the traffic that joined forwarders told, by part.
+func (s *Server) Loads() map[int]float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	loads := map[int]float64{}
+	for _, p := range s.streams {
+		loads[p.part] += p.join.Rate
+	}
+	return loads
+}
+
 // tooMuch tells whether so much waits for a peer that it gets a snapshot later instead of the next message.
 func (s *Server) tooMuch(p *peer) bool {
 	return s.line.Limits.budget().Fold(p.unsent.Load(), s.unsent.Load(), len(s.peers))
@@ -470,10 +527,12 @@
 	return resp.AppendBulk(resp.AppendBulk(resp.AppendBulk(b, "message"), topic), text)
 }
 
-// later begins the answer to a join that is put off, ending to one that comes during the farewell.
+// later begins the answer to a join that is put off, ending to one that comes during the farewell, movedTo to one of a part that is not
+// held here.
 const (
-	later  = "LATER"
-	ending = "ENDING"
+	later   = "LATER"
+	ending  = "ENDING"
+	movedTo = "MOVED"
 )
 
 // topic is what observers subscribe to.
@@ -513,7 +572,7 @@
 		return
 	}
 	level := zerolog.WarnLevel
-	if strings.HasPrefix(why, later) || strings.HasPrefix(why, ending) { // no fault, and in a storm there are thousands
+	if strings.HasPrefix(why, later) || strings.HasPrefix(why, ending) || strings.HasPrefix(why, movedTo) { // no fault, and in a storm there are thousands
 		level = zerolog.DebugLevel
 	}
 	s.line.Log.WithLevel(level).Str("peer", p.conn.RemoteAddr().String()).Str("forwarder", p.join.Name).Str("why", why).Msg("connection ended")
@@ -566,6 +625,7 @@
 	observer bool
 	join     tablewire.Join
 	zone     int
+	part     int
 	proxy    fleet.ProxyID
 	stream   uint64  // 0: not joined
 	holder   *holder // nil until admitted
--- a/command/command.go
+++ b/command/command.go
@@ -35,6 +35,7 @@
 type Line struct {
 	Governor Governor `cmd:"" help:"Run a governor until a signal ends it."`
 	Check    Check    `cmd:"" help:"Read a governor's or a day's file, tell each fault with its place, start nothing."`
+	Group    Group    `cmd:"" help:"Show and steer governors that share the fleet out."`
 	Console  Console  `cmd:"" help:"Show several governors side by side, from their own consoles."`
 	Day      Day      `cmd:"" help:"Play scripted days on loopback sockets."`
 	Stand    Stand    `cmd:"" help:"Run one stand-in, to try a governor by hand."`
--- a/console/body.go
+++ b/console/body.go
@@ -13,6 +13,7 @@
 	"peppervale/decide"
 	"peppervale/fleet"
 	"peppervale/governor"
+	"peppervale/group"
 	"peppervale/tablewire"
 )
 
@@ -394,3 +395,21 @@
 	})
 	return b, nil
 }
+
+// groupPage is who holds which part, by what this member knows.
+type groupPage struct {
+	Alone bool `json:"alone,omitempty"`
+	group.Status
+}
+
+func (s *Server) group(_ *page, rest string, _ *http.Request) (any, error) {
+	if rest != "" {
+		return nil, errNone
+	}
+	if s.about.Group == nil {
+		return groupPage{Alone: true}, nil
+	}
+	g := groupPage{Status: s.about.Group()}
+	slices.Reverse(g.Events) // the newest first
+	return g, nil
+}
--- a/console/console.go
+++ b/console/console.go
@@ -16,6 +16,7 @@
 	"peppervale/console/frame"
 	"peppervale/fleet"
 	"peppervale/governor"
+	"peppervale/group"
 )
 
 // Source is what the console reads; governor.Host and channel.Server are the real ones.
@@ -36,6 +37,7 @@
 	Before     []byte             // what the life before last published, a channel.Picture in JSON; nil if none is known
 	QueueMost  int
 	Now        func() fleet.Micros
+	Group      func() group.Status // nil: it shares the fleet with nobody
 }
 
 // Bounds on viewers.
@@ -53,7 +55,7 @@
 //go:embed style.css
 var Style template.CSS
 
-var pages = template.Must(template.New("").Funcs(template.FuncMap{"share": percent, "figure": figure, "style": func() template.CSS { return Style }}).ParseFS(files, "pages.html"))
+var pages = template.Must(template.New("").Funcs(template.FuncMap{"share": percent, "seconds": seconds, "figure": figure, "style": func() template.CSS { return Style }}).ParseFS(files, "pages.html"))
 
 // Server serves one governor's pages. Make it with Listen.
 type Server struct {
@@ -140,6 +142,9 @@
 	Body  any            `json:"body"`
 }
 
+// Shares tells whether this governor shares the fleet out with others.
+func (p *page) Shares() bool { return p.About.Group != nil }
+
 // errNone is a page about what is not there.
 var errNone = errors.New("there is none")
 
@@ -156,6 +161,7 @@
 	"orders":     {"Orders and their causes", (*Server).orders},
 	"settings":   {"Settings in force", (*Server).settings},
 	"before":     {"What the life before published", (*Server).before},
+	"group":      {"The group", (*Server).group},
 }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
@@ -173,12 +179,12 @@
 	}
 	route, known := routes[first]
 	if !known {
-		frame.Fail(w, http.StatusNotFound, "no page here; there are / /zones /replicas /forwarders /tables /orders /settings /before")
+		frame.Fail(w, http.StatusNotFound, "no page here; there are / /zones /replicas /forwarders /tables /orders /settings /before /group")
 		return
 	}
 	// The first to look for a while waits for a step that carries a look: five a second, if the governor steps at all.
 	v := s.from.Watch()
-	for k := 0; k < 10 && (v == nil || v.Look == nil || s.about.Now()-v.Look.At > fleet.Second); k++ {
+	for k := 0; first != "group" && k < 10 && (v == nil || v.Look == nil || s.about.Now()-v.Look.At > fleet.Second); k++ {
 		select {
 		case <-time.After(50 * time.Millisecond):
 		case <-r.Context().Done():
@@ -186,9 +192,16 @@
 		}
 		v = s.from.Watch()
 	}
+	if first == "group" && (v == nil || v.Look == nil) { // a governor that stands by has not begun to step
+		v = &governor.View{Look: &governor.Look{}}
+	}
 	if v == nil || v.Look == nil {
 		w.Header().Set("Retry-After", "1")
-		frame.Fail(w, http.StatusServiceUnavailable, "the governor has not finished a step since it started, or for a second; come back in a second")
+		why := "the governor has not finished a step since it started, or for a second; come back in a second"
+		if v == nil && s.about.Group != nil {
+			why = "this governor stands by: it holds no part of the fleet yet; see /group"
+		}
+		frame.Fail(w, http.StatusServiceUnavailable, why)
 		return
 	}
 	now := s.about.Now()
@@ -284,6 +297,8 @@
 
 func percent(f float64) string { return strconv.FormatFloat(100*f, 'f', 0, 64) + "%" }
 
+func seconds(m fleet.Micros) float64 { return float64(m) / float64(fleet.Second) }
+
 func figure(f float64) string { return strconv.FormatFloat(f, 'g', 3, 64) }
 
 func (s *Server) zone(n int) string {
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -46,7 +46,13 @@
 	host := governor.New(terms, g.Intake, now, log)
 	kept := newArchive(host, folder, found.Life, log)
 	defer kept.writer.Close()
-	server, err := channel.Listen(channel.Line{Listen: g.Listen, Life: found.Life, Zones: g.Zones, Period: terms.Period,
+	var shared *sharing
+	var leases channel.Leases
+	if g.Group != nil {
+		shared = newSharing()
+		leases = shared
+	}
+	server, err := channel.Listen(channel.Line{Listen: g.Listen, Leases: leases, Life: found.Life, Zones: g.Zones, Period: terms.Period,
 		Overhead: terms.Overhead, Pace: g.Pace, Now: now, Joins: joins(g, terms.Seed), Log: log, Limits: limits(g)}, host)
 	if err != nil {
 		return fmt.Errorf("%w; another process may have the address", err)
@@ -59,7 +65,15 @@
 	}
 	defer list.Close()
 	log.Info().Str("governor", g.Name).Str("listen", server.Addr()).Uint64("life", found.Life).Int("listed", len(found.List)).Msg("serving")
-	go host.Run(server, list, found.List)
+	if shared == nil {
+		go host.Run(server, list, found.List)
+	} else {
+		shared.begin = func() { go host.Run(server, list, found.List) }
+		if err := shared.open(g, found.Life, server, now, log); err != nil {
+			return err
+		}
+		defer shared.close()
+	}
 	file := &inForce{file: g}
 	if g.Console != "" {
 		about := console.About{Name: g.Name, Life: found.Life, Zones: g.Zones, Settings: file.Settings, QueueMost: terms.QueueMost, Now: now,
@@ -67,9 +81,12 @@
 		for _, o := range g.Operations {
 			about.Operations = append(about.Operations, o.Name)
 		}
+		if shared != nil {
+			about.Group = shared.group.Status
+		}
 		pages, err := console.Listen(g.Console, about, desk{host, server, kept})
 		if err != nil {
-			host.Stop()
+			shared.stop(host)
 			return err
 		}
 		defer pages.Close()
@@ -90,8 +107,9 @@
 		case <-ctx.Done():
 			log.Info().Msg("ending: forwarders are told to go elsewhere")
 			kept.published(server, down)
+			shared.giveAway(file.get().FarewellSpan)
 			server.Farewell(file.get().FarewellSpan)
-			host.Stop()
+			shared.stop(host)
 			report(log, host, server)
 			return nil
 		}
--- a/day/run.go
+++ b/day/run.go
@@ -216,11 +216,11 @@
 		return err
 	}
 	for i, zone := range d.Governors {
-		name := fmt.Sprintf("%s-%d", zone, i+1)
+		name := governorName(zone, i)
 		p := &process{name: name, zone: zone, address: fmt.Sprintf("127.%d.254.%d:7700", d.octet, i+1), program: d.set.Program,
 			config: filepath.Join(d.folder, name+".hcl"), log: filepath.Join(d.folder, name+".log")}
 		p.console = fmt.Sprintf("127.%d.254.%d:7780", d.octet, i+1)
-		text := d.governorFile(name, p.address, p.console, filepath.Join(d.folder, name+".state"), d.list.Addr(), d.Seed*100+uint64(i))
+		text := d.governorFile(name, p.address, p.console, filepath.Join(d.folder, name+".state"), d.list.Addr(), d.Seed*100+uint64(i), d.octet)
 		if err := os.WriteFile(p.config, text, 0o644); err != nil {
 			return err
 		}
--- a/group/group.go
+++ b/group/group.go
@@ -35,8 +35,8 @@
 	Join       bool   // asks to be taken in; else, where nothing is agreed yet, it founds the group with Peers
 	Peers      []Peer // itself among them
 	Terms      Terms
-	Limit      float64 // invocations a second that it governs at most; 0: any
-	Load       func(part int) float64
+	Limit      float64                // invocations a second that it governs at most; 0: any
+	Loads      func() map[int]float64 // traffic that joined forwarders told, by part; nil: not known
 	Now        func() fleet.Micros
 	Links      Links // nil: all reach all
 	Log        zerolog.Logger
@@ -83,6 +83,7 @@
 	member  *Member
 	disk    error // votes cannot be written
 	trouble string
+	loads   map[int]float64
 	moved   time.Time // it last gave up leading, as its settings are not the group's
 }
 
@@ -93,7 +94,12 @@
 	}
 	g := &Group{line: &l, events: e, poke: make(chan struct{}, 1), send: make(chan *Command, 16), done: make(chan struct{})}
 	record := Record{Zone: l.Zone, Channel: l.Channel, Request: l.address(l.Name, l.Listen), Limit: l.Limit}
-	g.member = NewMember(l.Name, l.Life, record, l.Terms, l.Load)
+	g.member = NewMember(l.Name, l.Life, record, l.Terms, func(part int) float64 {
+		if load, any := g.loads[part]; any {
+			return load
+		}
+		return -1 // its forwarders are on their way here
+	})
 	started := make(chan struct{})
 	if g.port, err = openPort(&l, func(words []string) ([]byte, error) {
 		select {
@@ -139,6 +145,8 @@
 	every := g.line.Terms.Lease.Span.Duration() / 100
 	tick := time.NewTicker(max(every, time.Millisecond))
 	defer tick.Stop()
+	var weighed time.Time
+	var loads map[int]float64
 	for {
 		select {
 		case <-g.done:
@@ -151,7 +159,12 @@
 		if leads {
 			alive = g.gossip.alive()
 		}
+		// Asked for outside of the lock: who tells it may wait for this member's word on a lease.
+		if now := time.Now(); g.line.Loads != nil && now.Sub(weighed) > 10*every {
+			weighed, loads = now, g.line.Loads()
+		}
 		g.mu.Lock()
+		g.loads = loads
 		changes, proposals := g.member.Tick(g.line.Now(), leads, func(name string) bool { return alive[name] })
 		g.tell()
 		transfer := leads && g.member.OtherSettings() && time.Since(g.moved) > 10*time.Second
--- a/group/member.go
+++ b/group/member.go
@@ -40,6 +40,7 @@
 	here   map[string]fleet.Micros // since when, by this leader
 	planAt fleet.Micros            // a plan left: none before
 	led    uint64                  // term of the last Tick as leader
+	ledAt  fleet.Micros            // the first of that term
 }
 
 // NewMember makes one; load tells the traffic of a part that it holds, below 0 where it does not know.
@@ -197,9 +198,14 @@
 		return nil
 	}
 	if m.led != m.reg.Term { // a new leader has seen nobody yet
-		m.led, m.planAt = m.reg.Term, 0
+		m.led, m.ledAt, m.planAt = m.reg.Term, now, 0
 		m.mover, m.here = assign.Mover{}, map[string]fleet.Micros{}
 	}
+	// Members that start together enrol within some round trips. A plan made at once gave the first of them the whole fleet, to be moved
+	// part by part after; and no lease ends sooner than this after a new leader's word.
+	if now-m.ledAt < m.terms.Lease.Span/2 {
+		return nil
+	}
 	if m.planAt > 0 && now-m.planAt < planFor {
 		return nil
 	}
--- a/group/status.go
+++ b/group/status.go
@@ -32,16 +32,16 @@
 
 // PartStatus is one part.
 type PartStatus struct {
-	Number int     `json:"number"`
-	Zone   string  `json:"zone"`
-	Holder string  `json:"holder"` // by the register; its lease may have run out
-	Wanted string  `json:"wanted"`
-	ByHand bool    `json:"by_hand,omitempty"`
-	Epoch  uint64  `json:"epoch"`
-	Load   float64 `json:"load"`
-	Here   bool    `json:"held_here"` // this member may order for it now
-	LeftUs int64   `json:"lease_left_us,omitempty"`
-	Why    string  `json:"waits_for,omitempty"`
+	Number int          `json:"number"`
+	Zone   string       `json:"zone"`
+	Holder string       `json:"holder"` // by the register; its lease may have run out
+	Wanted string       `json:"wanted"`
+	ByHand bool         `json:"by_hand,omitempty"`
+	Epoch  uint64       `json:"epoch"`
+	Load   float64      `json:"load"`
+	Here   bool         `json:"held_here"` // this member may order for it now
+	LeftUs fleet.Micros `json:"lease_left_us,omitempty"`
+	Why    string       `json:"waits_for,omitempty"`
 }
 
 // Status gives what this member knows now; it asks nobody.
@@ -65,7 +65,7 @@
 		one := PartStatus{Number: p.Number, Zone: p.Zone, Holder: m.reg.Holder(p), Wanted: p.Wanted, ByHand: p.ByHand, Epoch: p.Lease.Epoch,
 			Load: p.Load, Why: m.Missing(p)}
 		if _, one.Here = m.Holds(part, now); one.Here {
-			one.LeftUs = int64(m.claims[part].Left(now))
+			one.LeftUs = m.claims[part].Left(now)
 		}
 		if i, known := at[one.Holder]; known {
 			s.Members[i].Parts++
--- a/rules/judge_test.go
+++ b/rules/judge_test.go
@@ -133,3 +133,29 @@
 		t.Fatalf("%d lines", len(v.Breaks))
 	}
 }
+
+// Two governors that order in one epoch are found; orders of an older epoch than was seen are not obeyed, and so not judged.
+func TestHoldersAndEpochs(t *testing.T) {
+	up := func(at fleet.Micros, governor string) Stream {
+		return Stream{At: at, Forwarder: "till", Governor: governor, Up: true}
+	}
+	in := func(at fleet.Micros, epoch uint64, lines ...tablewire.Line) Received {
+		return pushed(at, tablewire.Message{Whole: true, Bound: true, Lines: lines, Epoch: epoch})
+	}
+	full, bare := tablewire.Line{Replica: id(1), Weight: 1}, []tablewire.Line(nil)
+	for name, c := range map[string]struct {
+		story  story
+		broken string
+	}{
+		"a takeover":                      {append(begin(), in(2*s, 1, full), up(3*s, "h"), in(4*s, 2, full)), ""},
+		"two in one epoch":                {append(begin(), in(2*s, 1, full), up(3*s, "h"), in(4*s, 1, full)), Holder},
+		"an old holder empties its table": {append(begin(), in(2*s, 2, full), in(3*s, 1, bare...)), ""},
+		"the holder empties its table":    {append(begin(), in(2*s, 2, full), in(3*s, 2, bare...)), Lost},
+	} {
+		for _, v := range Judge(c.story, figures, 15*s) {
+			if got := len(v.Breaks) > 0; got != (v.Rule == c.broken) {
+				t.Errorf("%s: %s: %v", name, v.Rule, v.Breaks)
+			}
+		}
+	}
+}
--- a/site/governor.go
+++ b/site/governor.go
@@ -62,6 +62,7 @@
 	FarewellSpan        time.Duration
 	LogLevel            string
 	Console             string // address of its pages; "" for none
+	Group               *Group // nil: it shares nothing
 }
 
 // PeerBounds is what peers of the channel may cost; zeros leave it to the channel.
@@ -124,6 +125,9 @@
 		b.Done()
 	}
 
+	if b := top.One("group", 0, false); b.Given() {
+		g.Group = readGroup(b, g)
+	}
 	l := top.One("machine_list", 1, true)
 	if g.List.Kind = l.Labels[0]; g.List.Kind != "consul" && g.List.Kind != "" {
 		l.Fault("", "machine_list: %q is none of consul", g.List.Kind)
@@ -258,6 +262,13 @@
 	add("period", t.Period.Duration())
 	add("intake", fmt.Sprintf("%d sums a second", g.Intake))
 	add("messages_most", t.MessagesMost)
+	if s := g.Group; s != nil {
+		add("group", fmt.Sprintf("listen %s, gossip %s, zone %s, %d parts a zone, span %s, drift %s, settle %s, pace %s, limit %g", s.Listen, s.Gossip, s.Zone, s.Parts,
+			s.Span.Duration(), s.Drift.Duration(), s.Settle.Duration(), s.Pace.Duration(), s.Limit))
+		for _, m := range s.Members {
+			add("member "+m.Name, fmt.Sprintf("%s, gossip %s", m.Address, m.Gossip))
+		}
+	}
 	add("machine list", fmt.Sprintf("%s at %s, service %s, wait %s", g.List.Kind, g.List.Address, g.List.Service, g.List.Wait))
 	return all
 }
--- a/site/reload.go
+++ b/site/reload.go
@@ -33,6 +33,7 @@
 	{"channel: pace", func(g *Governor) any { return g.Pace }, "what waits was given its time by it"},
 	{"channel: intake", func(g *Governor) any { return g.Intake }, ""},
 	{"channel: connections, observers, unsent_bytes, unsent_all_bytes, greeting, commands, joins, joined_most", func(g *Governor) any { return g.Peers }, ""},
+	{"group", func(g *Governor) any { return g.Group }, "what the group has agreed on rests on it; restart one member after the other"},
 	{"console: listen", func(g *Governor) any { return g.Console }, bound},
 	{"machine_list", func(g *Governor) any { return g.List }, "a call to it is under way"},
 	{"fleet, rules, channel: queue, overhead, period, messages_most", func(g *Governor) any {
--- a/site/reload_test.go
+++ b/site/reload_test.go
@@ -86,6 +86,8 @@
 		v.Set(reflect.MakeSlice(v.Type(), 1, 1))
 	case reflect.Float64:
 		v.SetFloat(1)
+	case reflect.Pointer:
+		v.Set(reflect.New(v.Type().Elem()))
 	case reflect.Bool:
 		v.SetBool(true)
 	case reflect.Uint8, reflect.Uint64:
--- a/stand/forwarder/call.go
+++ b/stand/forwarder/call.go
@@ -43,6 +43,7 @@
 	tries   int
 	more    int // tries that may follow
 	way     fleet.Way
+	epoch   uint64 // in which it began
 	pending int // tries without an end
 	ended   bool
 }
@@ -72,7 +73,7 @@
 		inv.Done(RateLimited, 0)
 		return
 	}
-	c := &call{f: f, inv: inv, life: f.life, began: now, way: way}
+	c := &call{f: f, inv: inv, life: f.life, began: now, way: way, epoch: f.fence.Epoch}
 	switch way {
 	case fleet.WhenUnrun, fleet.AnyFailure:
 		c.more = 1
@@ -150,6 +151,9 @@
 		return
 	}
 	op := f.Operations[c.inv.Operation]
+	if c.epoch != f.fence.Epoch { // its way was ordered by a holder that is none any more
+		c.way = min(c.way, fleet.WhenUnrun)
+	}
 	again := c.more > 0 && !c.ended && (o.Unrun() || c.way >= fleet.AnyFailure) &&
 		op.Timeout-(now-c.began) > op.Objective/10
 	if again {
--- a/stand/forwarder/forwarder.go
+++ b/stand/forwarder/forwarder.go
@@ -11,6 +11,7 @@
 	"github.com/lesismal/nbio"
 
 	"peppervale/fleet"
+	"peppervale/lease"
 	"peppervale/rules"
 	"peppervale/sockets"
 	"peppervale/stand"
@@ -104,11 +105,13 @@
 	bound   bool
 	at      map[fleet.ReplicaID]*there
 	govLife map[string]held // what it holds of each governor
+	fence   lease.Fence
+	caution bool // the holder of its part changed, and the new one has not ordered yet
 	stream  *stream
 	next    int // governor to dial
 
 	// Figures.
-	Messages, Bytes, Lines, Resyncs, Joins, Deferred int
+	Messages, Bytes, Lines, Resyncs, Joins, Deferred, Moved, Fenced int
 }
 
 type held struct{ life, version uint64 }
@@ -148,7 +151,7 @@
 	for _, l := range standing {
 		f.lines = append(f.lines, &line{id: l.Replica, weight: l.Weight})
 	}
-	f.next = 0
+	f.next, f.fence, f.caution = 0, lease.Fence{}, false
 	f.seen(rules.Began{At: f.loop.Now(), Forwarder: f.Name, Zone: f.ZoneIndex, Standing: standing})
 	f.dialIn(0)
 }
@@ -251,6 +254,9 @@
 			share, way = l.Share, l.Way
 		}
 	}
+	if f.caution {
+		way = min(way, fleet.WhenUnrun)
+	}
 	if f.Disobey.RepeatsAnything {
 		way = fleet.TwoMore
 	}
@@ -315,8 +321,22 @@
 	return f.of(best.id)
 }
 
+// epoch takes the epoch of a holder's word, and tells whether it may be obeyed. After a change of holder what may have run is not tried
+// again until the new one has ordered: the ways that stand were another's, and were meant for what that one knew.
+func (f *Forwarder) epoch(epoch uint64) bool {
+	before := f.fence.Epoch
+	obey, changed := f.fence.Take(epoch)
+	if changed && before > 0 {
+		f.caution = true
+	}
+	return obey
+}
+
 // apply takes a message that is due in order.
 func (f *Forwarder) apply(m *tablewire.Message) {
+	if m.Bound || len(m.Levels) > 0 {
+		f.caution = false
+	}
 	if m.Whole && m.Bound {
 		f.lines, f.bound = nil, true
 		clear(f.shut)
--- a/stand/forwarder/stream.go
+++ b/stand/forwarder/stream.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/lesismal/nbio"
@@ -84,7 +85,7 @@
 	f := s.f
 	h := f.govLife[s.governor.Name]
 	b := resp.AppendCommand(nil, "HELLO", "3")
-	b = tablewire.AppendJoin(b, tablewire.Join{Name: f.Name, Zone: f.Zone, Rate: f.Rate, Fresh: len(f.govLife) == 0, Life: h.life, Version: h.version})
+	b = tablewire.AppendJoin(b, tablewire.Join{Name: f.Name, Zone: f.Zone, Rate: f.Rate, Fresh: len(f.govLife) == 0, Life: h.life, Version: h.version, Epoch: f.fence.Epoch})
 	_, _ = s.conn.Write(b)
 }
 
@@ -163,10 +164,24 @@
 			f.elsewhere(wait)
 			return
 		}
+		var part int
+		var to string
+		if n, _ := fmt.Sscanf(v.Text, "MOVED %d %s", &part, &to); n == 2 {
+			f.movedTo(strings.TrimSuffix(to, ":"))
+			return
+		}
 		f.next++
 		f.redial()
 	case v.Kind == resp.Map:
 		if s.replies++; s.replies == 2 {
+			for i := 0; i+1 < len(v.Items); i += 2 {
+				if v.Items[i].Text == "epoch" && v.Items[i+1].Int >= 0 && !f.epoch(uint64(v.Items[i+1].Int)) {
+					s.end() // it took the join in a lease that is over
+					f.next++
+					f.redial()
+					return
+				}
+			}
 			s.joined = true
 			f.Joins++
 			for i := 0; i+1 < len(v.Items); i += 2 {
@@ -190,6 +205,18 @@
 	}
 }
 
+// movedTo goes to the governor that has this forwarder's part, at its own pace; without one it asks the next.
+func (f *Forwarder) movedTo(address string) {
+	f.Moved++
+	f.next++
+	for i, g := range f.Governors {
+		if g.Address == address {
+			f.next = i
+		}
+	}
+	f.redial()
+}
+
 // elsewhere goes to the next governor. If there is no other it comes back after the time told, spread by chance over twice
 // its usual wait.
 func (f *Forwarder) elsewhere(milliseconds int) {
@@ -205,6 +232,11 @@
 // asked for. Nothing is guessed.
 func (s *stream) message(m *tablewire.Message) {
 	f := s.f
+	if !f.epoch(m.Epoch) {
+		f.Fenced++
+		_, _ = s.conn.Write(resp.AppendCommand(nil, "FENCED", strconv.FormatUint(m.Epoch, 10), strconv.FormatUint(m.Life, 10), strconv.FormatUint(m.Version, 10)))
+		return
+	}
 	h := f.govLife[s.governor.Name]
 	switch {
 	case m.Whole && (m.Life != h.life || m.Version >= h.version || !f.bound):
