--- a/command/command.go
+++ b/command/command.go
@@ -14,12 +14,14 @@
 	"runtime/debug"
 	"strings"
 	"syscall"
+	"time"
 
 	"github.com/rs/zerolog"
 
 	"peppervale/console/across"
 	"peppervale/daemon"
 	"peppervale/day"
+	"peppervale/fleet"
 	"peppervale/governor"
 	"peppervale/measure"
 	"peppervale/site"
@@ -248,9 +250,10 @@
 
 // Measure is peppervale measure.
 type Measure struct {
-	Channel MeasureChannel `cmd:"" help:"Time the channel from Publish to the last receipt, beside plain sockets."`
-	Restart MeasureRestart `cmd:"" help:"Restart a governor under its forwarders, in four ways."`
-	Storm   MeasureStorm   `cmd:"" help:"Let many forwarders dial at once, with and without admission."`
+	Channel  MeasureChannel  `cmd:"" help:"Time the channel from Publish to the last receipt, beside plain sockets."`
+	Restart  MeasureRestart  `cmd:"" help:"Restart a governor under its forwarders, in four ways."`
+	Takeover MeasureTakeover `cmd:"" help:"Kill one of three governors over and over, with the fleet shared out and not."`
+	Storm    MeasureStorm    `cmd:"" help:"Let many forwarders dial at once, with and without admission."`
 }
 
 // MeasureRestart is peppervale measure restart.
@@ -280,6 +283,39 @@
 	return nil
 }
 
+// MeasureTakeover is peppervale measure takeover.
+type MeasureTakeover struct {
+	Forwarders int           `help:"How many." default:"400"`
+	Rounds     int           `help:"Kills." default:"20"`
+	Span       time.Duration `help:"Of a lease." default:"2s"`
+	Seed       uint64        `help:"Of the moments and of who is killed." default:"1"`
+	Only       string        `help:"Governors that share the fleet, that share nothing, or both." enum:"shared,alone,both" default:"both"`
+}
+
+// Run is the command.
+func (c *MeasureTakeover) Run(ctx context.Context, out io.Writer) error {
+	if c.Forwarders < 3 || c.Forwarders > 5000 || c.Rounds < 1 || c.Rounds > 1000 || c.Span < 300*time.Millisecond || c.Span > time.Minute {
+		return fmt.Errorf("%w: 3 to 5000 forwarders, 1 to 1000 kills and a lease of 300ms to 1m are wanted", ErrInput)
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	var all []*measure.TakeoverFigures
+	for _, shared := range []bool{true, false} {
+		if c.Only == "shared" && !shared || c.Only == "alone" && shared {
+			continue
+		}
+		f, err := measure.Takeover(ctx, []string{self}, c.Forwarders, c.Rounds, fleet.Micros(c.Span/time.Microsecond), shared, c.Seed, os.Stderr)
+		if err != nil {
+			return err
+		}
+		all = append(all, f)
+	}
+	measure.PrintTakeovers(out, all)
+	return nil
+}
+
 // MeasureStorm is peppervale measure storm.
 type MeasureStorm struct {
 	Forwarders int       `help:"How many." default:"2000"`
--- a/day/script.go
+++ b/day/script.go
@@ -96,7 +96,7 @@
 // Kinds of steps, with what Part, Size and Number mean.
 var Kinds = map[string]string{
 	"zone_loss":       "a zone's replicas, forwarders and governors die and come back cold (silent: replicas answer nothing instead)",
-	"governor_crash":  "a part of the governors is killed outright and starts again",
+	"governor_crash":  "a part of the governors is killed outright and starts again (number times, about each size seconds)",
 	"governor_roll":   "governors restart one after the other, orderly, within the time",
 	"governor_stall":  "a part of the governors stands still (stopped and continued)",
 	"forwarder_crash": "a part of the forwarders dies and starts again",
--- a/day/steps.go
+++ b/day/steps.go
@@ -68,8 +68,13 @@
 	}
 }
 
-// strike carries a step out.
+// strike carries a step out. A crash of governors with a number comes so many times, at moments drawn around each of size seconds.
 func (d *play) strike(t Step) {
+	if t.Kind == "governor_crash" && t.Number > 1 {
+		more := t
+		more.Number--
+		d.loop.After(fleet.Micros(d.chance.Between(0.7, 1.3)*float64(seconds(t.Size))), func() { d.strike(more) })
+	}
 	switch do := troubles[t.Kind]; {
 	case do != nil:
 		do(d, t)
--- a/stand/forwarder/call.go
+++ b/stand/forwarder/call.go
@@ -44,7 +44,7 @@
 	more    int // tries that may follow
 	way     fleet.Way
 	epoch   uint64 // in which it began
-	pending int // tries without an end
+	pending int    // tries without an end
 	ended   bool
 }
 
--- a/stand/forwarder/forwarder.go
+++ b/stand/forwarder/forwarder.go
@@ -48,8 +48,9 @@
 	Redial      fleet.Micros // at least, and up to three times that
 	ConnectFor  fleet.Micros
 	IdleFor     fleet.Micros
-	StallFor    fleet.Micros // it stands still for so long for each line that it is sent
-	StreamsOnly bool         // it carries no invocations: a listener for measuring the channel
+	StallFor    fleet.Micros                                              // it stands still for so long for each line that it is sent
+	Obeyed      func(f *Forwarder, governor string, m *tablewire.Message) // told each message that it carries out; nil: nobody is
+	StreamsOnly bool                                                      // it carries no invocations: a listener for measuring the channel
 }
 
 // Governor is one that it may join.
--- a/stand/forwarder/stream.go
+++ b/stand/forwarder/stream.go
@@ -255,6 +255,9 @@
 	f.Lines += m.Cost
 	f.govLife[s.governor.Name] = held{m.Life, m.Version}
 	f.apply(m)
+	if f.Obeyed != nil {
+		f.Obeyed(f, s.governor.Name, m)
+	}
 	if f.StallFor > 0 {
 		f.Stall(f.StallFor * fleet.Micros(len(m.Lines)))
 	}
