A new leader counts leases from when it saw them renewed; nobody is sent to the dead

Change: the leader's word carries what it saw of each part and how long ago by its own clock; what it had not seen counts anew. Asks are made again at a new leader's word and after a known failure; a forwarder is not sent to a member silent for half a lease; a leader is replaced after a third of a second. Taking the leader's ages without the check of its log is found by a story.

--- a/group/engine.go
+++ b/group/engine.go
@@ -22,6 +22,7 @@
 	store *boltraft.BoltStore
 	trans *raft.NetworkTransport
 	leads chan bool
+	lead  func() *Command // the word to begin with
 	done  chan struct{}
 	over  chan struct{}
 
@@ -41,12 +42,13 @@
 // machine is the state machine that raft drives.
 type machine interface {
 	applied(c *Command, term uint64)
+	lead() *Command
 	snapshot() ([]byte, error)
 	restored(r *Register) error
 }
 
 func openEngine(l *Line, stream raft.StreamLayer, m machine, logger hclog.Logger, told func(error)) (_ *engine, err error) {
-	e := &engine{line: l, leads: make(chan bool, 16), done: make(chan struct{}), over: make(chan struct{})}
+	e := &engine{line: l, lead: m.lead, leads: make(chan bool, 16), done: make(chan struct{}), over: make(chan struct{})}
 	defer func() {
 		if err != nil {
 			e.shut()
@@ -64,7 +66,9 @@
 		ServerAddressProvider: addresses{l}})
 	conf := raft.DefaultConfig()
 	conf.LocalID = raft.ServerID(l.Name)
-	conf.HeartbeatTimeout, conf.ElectionTimeout, conf.LeaderLeaseTimeout = span/4, span/4, span/8
+	// A leader that is gone is to be replaced while the others' leases run, with time for two votes: a third of a second each at the
+	// usual span of 2 s.
+	conf.HeartbeatTimeout, conf.ElectionTimeout, conf.LeaderLeaseTimeout = span/6, span/6, span/8
 	conf.CommitTimeout = 10 * time.Millisecond
 	conf.SnapshotThreshold, conf.SnapshotInterval, conf.TrailingLogs = snapshotAfter, snapshotEvery, trailing
 	conf.Logger = logger
@@ -103,7 +107,7 @@
 			e.mu.Lock()
 			e.announced = leads
 			if leads {
-				e.apply(&Command{Form: form, Kind: Lead, Member: e.line.Name, Record: &Record{Digest: e.line.Terms.Digest()}})
+				e.apply(e.lead())
 			}
 			e.mu.Unlock()
 		}
--- a/group/group.go
+++ b/group/group.go
@@ -242,7 +242,7 @@
 			return
 		case c := <-g.send:
 			if g.engine.isLeader() {
-				_ = g.engine.propose(c)
+				g.failed(c, g.engine.propose(c))
 				continue
 			}
 			name, address := g.engine.leader()
@@ -250,6 +250,7 @@
 				g.askIn(within)
 			}
 			if address == "" || c.Kind == Plan || name == g.line.Name {
+				g.failed(c, errNotLeader)
 				continue
 			}
 			if address != at {
@@ -258,12 +259,21 @@
 				to.dial = func(within time.Duration) (net.Conn, error) { return g.line.dial(name, address, forRequests, within) }
 			}
 			if b, err := cbor.Marshal(c); err == nil {
-				_, _ = to.ask(within, "PROPOSE", string(b))
+				_, err = to.ask(within, "PROPOSE", string(b))
+				g.failed(c, err)
 			}
 		}
 	}
 }
 
+func (g *Group) failed(c *Command, err error) {
+	if err != nil {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.member.Failed(c, g.line.Now())
+	}
+}
+
 // askIn asks the members that this one knows to take it in.
 func (g *Group) askIn(within time.Duration) {
 	for _, p := range g.line.Peers {
@@ -291,16 +301,11 @@
 // Part gives a forwarder's part.
 func (g *Group) Part(zone int, name string) int { return g.line.Terms.PartOf(zone, name) }
 
-// Holder gives the channel address of the member that should hold a part; "" if that is this one, or nobody.
+// Holder gives the channel address of the member that should hold a part; "" if that is this one, or nobody that is here.
 func (g *Group) Holder(part int) string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if p := g.member.reg.part(part); p != nil && p.Wanted != g.line.Name {
-		if m := g.member.reg.Member(p.Wanted); m != nil {
-			return m.Record.Channel
-		}
-	}
-	return ""
+	return g.member.Elsewhere(part, g.line.Now())
 }
 
 // GiveAway has this member's parts moved to others in planned moves, and waits until it holds none or the time is over.
@@ -341,6 +346,12 @@
 	}
 }
 
+func (g *Group) lead() *Command {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.member.Lead(g.line.Now())
+}
+
 func (g *Group) snapshot() ([]byte, error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/group/member.go
+++ b/group/member.go
@@ -36,6 +36,9 @@
 	refused bool
 	enrolAt fleet.Micros
 
+	seen  []fleet.Micros          // when each part's newest renewal came from the log, by this clock; 0: none did
+	heard map[string]fleet.Micros // the same of members
+
 	mover  assign.Mover
 	here   map[string]fleet.Micros // since when, by this leader
 	planAt fleet.Micros            // a plan left: none before
@@ -46,8 +49,9 @@
 // NewMember makes one; load tells the traffic of a part that it holds, below 0 where it does not know.
 func NewMember(name string, life uint64, record Record, t Terms, load func(part int) float64) *Member {
 	record.Digest = t.Digest()
-	m := &Member{Name: name, Life: life, Record: record, terms: t, load: load, here: map[string]fleet.Micros{}}
+	m := &Member{Name: name, Life: life, Record: record, terms: t, load: load, here: map[string]fleet.Micros{}, heard: map[string]fleet.Micros{}}
 	m.Restore(NewRegister(t))
+	m.seen = make([]fleet.Micros, len(m.reg.Parts))
 	m.claims, m.told = make([]lease.Claim, len(m.reg.Parts)), make([]uint64, len(m.reg.Parts))
 	return m
 }
@@ -62,8 +66,12 @@
 func (m *Member) Applied(c *Command, term uint64, now fleet.Micros) {
 	if c.Kind == Lead && c.Form <= form {
 		m.reg.Term = term
+		m.askAt, m.waits = now, false // what the leader before was asked is lost, or its answer is here already
 	}
 	for _, a := range m.reg.Apply(c, term) {
+		if a.Granted && a.Part < len(m.seen) {
+			m.seen[a.Part] = now
+		}
 		if c.Member != m.Name || c.Life != m.Life || a.Part >= len(m.claims) {
 			continue
 		}
@@ -73,6 +81,9 @@
 			m.refused = true
 		}
 	}
+	if c.Kind == Renew || c.Kind == Enrol {
+		m.heard[c.Member] = now
+	}
 	if c.Kind == Plan {
 		m.planAt = 0
 		if slices.ContainsFunc(c.Moves, func(mv assign.Move) bool { return mv.To == m.Name }) {
@@ -102,6 +113,30 @@
 	return m.claims[part].Epoch, true
 }
 
+// Lead gives the word with which this member begins to lead.
+func (m *Member) Lead(now fleet.Micros) *Command {
+	c := &Command{Form: form, Kind: Lead, Member: m.Name, Record: &Record{Digest: m.Record.Digest}, Heard: map[string]fleet.Micros{}}
+	for part, p := range m.reg.Parts {
+		one := PartSeen{Epoch: p.Lease.Epoch, Number: p.Lease.Number, Age: -1}
+		if part < len(m.seen) && m.seen[part] > 0 {
+			one.Age = now - m.seen[part]
+		}
+		c.Seen = append(c.Seen, one)
+	}
+	for name, at := range m.heard {
+		c.Heard[name] = now - at
+	}
+	return c
+}
+
+// Failed takes that a Renew was not agreed on, as far as its sender knows. One that is all the same brings an answer that comes too
+// late to count.
+func (m *Member) Failed(c *Command, now fleet.Micros) {
+	if c.Kind == Renew && m.waits {
+		m.waits, m.askAt = false, now+m.terms.Lease.Span/20
+	}
+}
+
 // Change is a part that a member holds from now on, or no longer (Epoch 0).
 type Change struct {
 	Part  int
@@ -202,8 +237,8 @@
 		m.mover, m.here = assign.Mover{}, map[string]fleet.Micros{}
 	}
 	// Members that start together enrol within some round trips. A plan made at once gave the first of them the whole fleet, to be moved
-	// part by part after; and no lease ends sooner than this after a new leader's word.
-	if now-m.ledAt < m.terms.Lease.Span/2 {
+	// part by part after.
+	if now-m.ledAt < m.terms.Lease.Span/2 && slices.ContainsFunc(m.reg.Parts, func(p *PartState) bool { return p.Lease.Epoch == 0 }) {
 		return nil
 	}
 	if m.planAt > 0 && now-m.planAt < planFor {
@@ -246,6 +281,20 @@
 	return alive == nil || silent < span/2 || alive(s.Name)
 }
 
+// Elsewhere gives the channel address of the member that should hold a part; "" if that is this one, or nobody, or one that has not
+// renewed for half a lease: who is sent there would most likely find nobody, and lose the time.
+func (m *Member) Elsewhere(part int, now fleet.Micros) string {
+	p := m.reg.part(part)
+	if p == nil || p.Wanted == m.Name {
+		return ""
+	}
+	s := m.reg.Member(p.Wanted)
+	if at, heard := m.heard[p.Wanted]; s == nil || !heard || now-at >= m.terms.Lease.Span/2 {
+		return ""
+	}
+	return s.Record.Channel
+}
+
 // Missing tells why a part is without an order of its holder, for a reader; "" if it has one.
 func (m *Member) Missing(p *PartState) string {
 	s := m.reg.Member(p.Wanted)
--- a/group/member_test.go
+++ b/group/member_test.go
@@ -61,7 +61,9 @@
 func (c *circle) lead(k int) {
 	c.term++
 	c.leader = k
-	c.log = append(c.log, entry{Command{Form: form, Kind: Lead, Member: fmt.Sprint("m", k), At: c.members[k].clock(c), Record: &Record{Digest: town.Digest()}}, c.term})
+	word := c.members[k].Lead(c.members[k].clock(c))
+	word.At = c.members[k].clock(c)
+	c.log = append(c.log, entry{*word, c.term})
 }
 
 // majority tells whether anything can be agreed on.
@@ -219,6 +221,46 @@
 	c.want(0, 3, 3)
 }
 
+// The leader dies, and its parts are held again hardly later than those of another member would be: the new one has seen when they
+// were renewed.
+func TestTheLeadersParts(t *testing.T) {
+	c := newCircle(t, 3)
+	c.run(5 * fleet.Second)
+	c.members[0].up = false
+	c.run(town.Lease.Span + town.Lease.Drift + 400*fleet.Millisecond)
+	c.want(0, 3, 3)
+}
+
+// A leader that lags takes over: what was renewed in entries that it has not seen yet is not as old as it believes.
+func TestALeaderThatLags(t *testing.T) {
+	c := newCircle(t, 3)
+	c.run(5 * fleet.Second)
+	lag := c.members[1]
+	lag.cut = true // two hear each other, and agree
+	c.run(town.Lease.Span / 2)
+	lag.cut = false
+	c.lead(1)               // before it has taken what came meanwhile
+	c.members[2].cut = true // which holds on what was agreed on then
+	c.run(3 * town.Lease.Span)
+	if c.held(0)+c.held(1) != 6 || c.held(2) > 0 {
+		t.Fatalf("%d, %d and %d parts are held", c.held(0), c.held(1), c.held(2))
+	}
+}
+
+// Who asks for a part of a member that died is not sent to it.
+func TestNobodyIsSentToTheDead(t *testing.T) {
+	c := newCircle(t, 3)
+	c.run(5 * fleet.Second)
+	if at := c.members[0].Elsewhere(2, c.now); at != "127.0.0.1:7701" {
+		t.Fatalf("part 2 is at %q", at)
+	}
+	c.members[1].up = false
+	c.run(town.Lease.Span/2 + 20*fleet.Millisecond)
+	if at := c.members[0].Elsewhere(2, c.now); at != "" {
+		t.Fatalf("sent to %q, which is dead", at)
+	}
+}
+
 // A member is cut off from the others: it goes on to the end of its leases and then stops, before anybody else is granted. The two
 // sides believe different things of who holds what all the while.
 func TestCutOff(t *testing.T) {
--- a/group/register.go
+++ b/group/register.go
@@ -35,9 +35,11 @@
 	At     fleet.Micros // the leader's clock; it stamps each
 	Member string
 	Life   uint64
-	Record *Record       `cbor:",omitempty"`
-	Asks   []PartAsk     `cbor:",omitempty"`
-	Moves  []assign.Move `cbor:",omitempty"`
+	Record *Record                 `cbor:",omitempty"`
+	Asks   []PartAsk               `cbor:",omitempty"`
+	Moves  []assign.Move           `cbor:",omitempty"`
+	Seen   []PartSeen              `cbor:",omitempty"` // Lead: of each part, by its number
+	Heard  map[string]fleet.Micros `cbor:",omitempty"` // Lead: how long ago members renewed
 	ByHand bool
 	On     bool
 }
@@ -49,6 +51,13 @@
 	Load   float64 // Renew: what its joined forwarders told, invocations a second; below 0: not known
 }
 
+// PartSeen is what a new leader has seen of a part before it led: the newest renewal, and how long ago by its own clock.
+type PartSeen struct {
+	Epoch  uint64
+	Number uint32
+	Age    fleet.Micros // below 0: none was seen in this life
+}
+
 // Record is what a member tells of itself.
 type Record struct {
 	Zone    string
@@ -171,11 +180,15 @@
 		if r.Digest == 0 && c.Record != nil {
 			r.Digest = c.Record.Digest
 		}
-		for _, p := range r.Parts {
-			p.Lease.Lead(c.At)
+		for i, p := range r.Parts {
+			if i < len(c.Seen) {
+				p.Lease.LeadSeen(c.At, c.Seen[i].Age, c.Seen[i].Epoch, c.Seen[i].Number)
+			} else {
+				p.Lease.Lead(c.At)
+			}
 		}
 		for _, m := range r.Members {
-			m.Heard = c.At
+			m.Heard = c.At - max(0, c.Heard[m.Name])
 		}
 		return nil
 	},
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -17,7 +17,8 @@
 //	held                          renew by other   held               refused
 //	held, the lease ran out       renew by other   held, epoch + 1    granted
 //	held                          release          free               the epoch stays
-//	any                           lead             runs out anew      a new leader has not seen when it was renewed
+//	any                           lead, unseen     runs out anew      a new leader has not seen when it was renewed
+//	any                           lead, seen       runs on            from when the new leader saw it, which is later than it was
 //
 // The holder's:
 //
@@ -85,6 +86,17 @@
 // Lead begins a leader's time. It knows nothing of when leases were renewed, by its own clock, so it counts them from now.
 func (p *Part) Lead(now fleet.Micros) { p.Renewed = now }
 
+// LeadSeen begins the time of a leader that saw the part renewed, by its own clock, age before now: as its log then ended with the given
+// epoch and ask. What was agreed on before its word but not seen by it counts as Lead has it. A renewal that came doubled or late does
+// not show in the ask's number, and need not: it gave its holder no time.
+func (p *Part) LeadSeen(now, age fleet.Micros, epoch uint64, number uint32) {
+	if p.Epoch == epoch && p.Number == number && age >= 0 {
+		p.Renewed = now - age
+		return
+	}
+	p.Lead(now)
+}
+
 // Release takes a holder's word that it has stopped: nobody need wait for the lease to run out. Of anybody else it means nothing, nor if
 // the holder has asked anew since it said so.
 func (p *Part) Release(a Ask) {
