A governor that ends gives its parts away first; cut off from its group over real sockets

Change: ending is told to the register (not the same as an operator's drain, which outlasts a restart) and moves all parts at once; the time line names who had a part before.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -13,6 +13,7 @@
 //
 //	state of the part                          input                            next       effect
 //	with nobody, or its member gone            a member with room               given      at once: there is nothing to lose
+//	its member ending                          another with room                given      at once: its process waits for it
 //	its member leaving                         another with room                given      one each Pace from it
 //	moved by hand, its member there            any                              stays
 //	its member beyond its limit                another with room                given      one each Pace from it
@@ -39,6 +40,7 @@
 	Here       bool         // it renews, or seems alive
 	Since      fleet.Micros // Here
 	Leaving    bool         // told to give everything away
+	Ending     bool         // its process is about to end
 	Limit      float64      // invocations a second that it may govern; 0: any
 }
 
@@ -84,6 +86,7 @@
 
 var rows = []row{
 	{why: "its member is gone", fits: func(_ *deal, _ *Part, at *seat) bool { return at == nil || !at.Here }},
+	{why: "its member is ending", fits: func(_ *deal, _ *Part, at *seat) bool { return at.Ending }},
 	{why: "its member is leaving", paced: true, fits: func(_ *deal, _ *Part, at *seat) bool { return at.Leaving }},
 	{why: "moved by hand", fits: func(_ *deal, p *Part, _ *seat) bool { return p.ByHand }},
 	{why: "its member is beyond its limit", paced: true, fits: func(_ *deal, _ *Part, at *seat) bool { return at.Limit > 0 && at.load > at.Limit }},
@@ -156,7 +159,7 @@
 	}
 	for _, s := range d.seats {
 		switch {
-		case s == at || !s.Here || s.Leaving || !s.room(p.Load):
+		case s == at || !s.Here || s.Leaving || s.Ending || !s.room(p.Load):
 		case r.steady && d.now-s.Since < d.Settle:
 		case r.paced && r.steady && !d.due(s):
 		case r.near && s.Zone != p.Zone:
--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -127,6 +127,16 @@
 	}
 }
 
+// A member that ends gives all away at once.
+func TestEnding(t *testing.T) {
+	h := newHall(3, 4, 10)
+	h.step(0)
+	h.members[0].Ending = true
+	if moves := h.step(fleet.Second); len(moves) != 4 || h.held("member-zone0") != 0 {
+		t.Fatalf("%v", moves)
+	}
+}
+
 // Whatever comes: nobody is given a part who is gone, leaving or full; a step without change in the group moves nothing at once; and what
 // is unforced comes to an end.
 func TestWhateverComes(t *testing.T) {
--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -12,6 +12,7 @@
 	"peppervale/console"
 	"peppervale/fleet"
 	"peppervale/governor"
+	"peppervale/group"
 	"peppervale/roster"
 	"peppervale/site"
 	"peppervale/store"
@@ -22,6 +23,7 @@
 	Reload    <-chan struct{}                // asks that the file is read again
 	Read      func() (*site.Governor, error) // reads it
 	Threshold *Threshold                     // of the log
+	Links     group.Links                    // between members of its group; tests cut them
 }
 
 // publishedEvery is how often what stands published is put down, if it changed: the console of a successor shows it until it has
@@ -69,7 +71,7 @@
 		go host.Run(server, list, found.List)
 	} else {
 		shared.begin = func() { go host.Run(server, list, found.List) }
-		if err := shared.open(g, found.Life, server, now, log); err != nil {
+		if err := shared.open(g, found.Life, server, now, out.Links, log); err != nil {
 			return err
 		}
 		defer shared.close()
--- a/daemon/share.go
+++ b/daemon/share.go
@@ -30,11 +30,11 @@
 
 func newSharing() *sharing { return &sharing{ready: make(chan struct{})} }
 
-func (s *sharing) open(g *site.Governor, life uint64, server *channel.Server, now func() fleet.Micros, log zerolog.Logger) (err error) {
+func (s *sharing) open(g *site.Governor, life uint64, server *channel.Server, now func() fleet.Micros, links group.Links, log zerolog.Logger) (err error) {
 	s.server = server
 	of := g.Group
 	line := group.Line{Name: g.Name, Zone: of.Zone, Channel: server.Addr(), Listen: of.Listen, Gossip: of.Gossip, Folder: filepath.Join(g.State, "group"),
-		Life: life, Join: of.Join, Limit: of.Limit, Loads: server.Loads, Now: now, Log: log,
+		Life: life, Join: of.Join, Limit: of.Limit, Loads: server.Loads, Now: now, Links: links, Log: log,
 		Terms: group.Terms{Lease: lease.Terms{Span: of.Span, Drift: of.Drift}, Assign: assign.Terms{Settle: of.Settle, Pace: of.Pace},
 			Zones: g.Zones, PartsEach: of.Parts}}
 	for _, m := range of.Members {
--- /dev/null
+++ b/daemon/share_test.go
@@ -0,0 +1,201 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"peppervale/fleet"
+	"peppervale/group"
+	"peppervale/rules"
+	"peppervale/site"
+	"peppervale/stand"
+	"peppervale/stand/forwarder"
+	"peppervale/stand/registry"
+)
+
+// town is three governors that share six forwarders out, a zone each, with links between the governors that can be cut.
+type town struct {
+	t          *testing.T
+	loop       *stand.Loop
+	names      []string
+	pages      []string
+	ports      []string
+	forwarders []*forwarder.Forwarder
+	mu         sync.Mutex
+	cut        map[string]bool // members that reach no other and are reached by none
+	seen       []rules.Seen
+}
+
+func (w *town) Open(from, to string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return from == to || !w.cut[from] && !w.cut[to]
+}
+
+func (w *town) isolate(name string, cut bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut[name] = cut
+}
+
+func found(t *testing.T) *town {
+	zones := []string{"govan", "partick", "dalmarnock"}
+	w := &town{t: t, cut: map[string]bool{}}
+	dir := t.TempDir()
+	began := time.Now()
+	w.loop = stand.NewLoop(func() fleet.Micros { return fleet.Micros(time.Since(began) / time.Microsecond) })
+	t.Cleanup(w.loop.Stop)
+	engine, err := forwarder.NewEngine()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(engine.Stop)
+	list, err := registry.New(w.loop, "127.0.0.1:0", "recipe", func(rules.Seen) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(list.Close)
+	w.loop.Do(func() {
+		for n, zone := range zones {
+			list.Set(registry.Entry{ID: replica(byte(n + 1)), Zone: zone})
+		}
+	})
+	var members string
+	var gossip []string
+	for _, zone := range zones {
+		w.names = append(w.names, zone+"-1")
+		w.pages, w.ports, gossip = append(w.pages, free(t)), append(w.ports, free(t)), append(gossip, free(t))
+		k := len(w.names) - 1
+		members += fmt.Sprintf("member %q {\n address = %q\n gossip = %q\n}\n", w.names[k], w.ports[k], gossip[k])
+	}
+	var channels []forwarder.Governor
+	for k, zone := range zones {
+		channels = append(channels, forwarder.Governor{Name: w.names[k], Address: free(t)})
+		text := fmt.Sprintf(`governor %q {
+  listen = %q
+  state = %q
+  farewell = "1s"
+}
+console {
+  listen = %q
+}
+zones = ["govan", "partick", "dalmarnock"]
+operation "recipe-read" {
+  objective = "500ms"
+  timeout = "1200ms"
+  effect = "idempotent"
+}
+fleet {
+  forwarders = 6
+}
+rules {
+}
+channel {
+  period = "200ms"
+}
+machine_list "consul" {
+  address = %q
+  service = "recipe"
+}
+group {
+  listen = %q
+  gossip = %q
+  zone = %q
+  parts = 2
+  span = "1s"
+  settle = "1s"
+  pace = "100ms"
+  %s
+}
+`, w.names[k], channels[k].Address, w.names[k]+".state", w.pages[k], list.Addr(), w.ports[k], gossip[k], zone, members)
+		path := filepath.Join(dir, w.names[k]+".hcl")
+		if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		g, err := site.OpenGovernor(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		ended := make(chan error, 1)
+		go func() { ended <- Serve(ctx, g, Outside{Links: w}, zerolog.Nop()) }()
+		t.Cleanup(func() {
+			cancel()
+			if err := <-ended; err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	w.loop.Do(func() {
+		for k := range 6 {
+			f := forwarder.New(w.loop, engine, forwarder.Facts{Name: fmt.Sprint("till-", k), Zone: zones[k%3], ZoneIndex: k % 3, Rate: 2, Redial: 50 * fleet.Millisecond,
+				ConnectFor: fleet.Second, StreamsOnly: true, Governors: append(channels[k%3:3:3], channels[:k%3]...)}, uint64(k), func(s rules.Seen) { w.seen = append(w.seen, s) })
+			f.Start([]rules.Line{{Replica: replica(1), Weight: 1}})
+			w.forwarders = append(w.forwarders, f)
+		}
+	})
+	t.Cleanup(func() {
+		w.loop.Do(func() {
+			for _, f := range w.forwarders {
+				f.Kill()
+			}
+		})
+	})
+	return w
+}
+
+// await waits until each forwarder is bound and joined as told.
+func (w *town) await(what string, to func(k int, governor string) bool) {
+	w.t.Helper()
+	for until := time.Now().Add(30 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+		all, where := true, []string{}
+		w.loop.Do(func() {
+			for k, f := range w.forwarders {
+				where = append(where, f.Joined())
+				all = all && f.Bound() && to(k, f.Joined())
+			}
+		})
+		if all {
+			return
+		}
+		if time.Now().After(until) {
+			for _, port := range w.ports {
+				text, err := group.Ask(port, time.Second, "STATUS")
+				w.t.Log(text, err)
+			}
+			w.t.Fatalf("never: %s; they are at %v", what, where)
+		}
+	}
+}
+
+// One governor is cut off from the others but not from its forwarders: it believes that it governs them, and they it, to the end of its
+// leases; then others do. No epoch has two holders, as judged from what the forwarders were sent.
+func TestCutOffFromTheGroup(t *testing.T) {
+	w := found(t)
+	home := func(k int, governor string) bool { return governor == w.names[k%3] }
+	w.await("each at home", home)
+	w.isolate(w.names[1], true)
+	w.await("taken over", func(k int, governor string) bool { return governor != "" && governor != w.names[1] })
+	text, err := group.Ask(w.ports[1], 5*time.Second, "STATUS")
+	if err != nil || !strings.Contains(text, "majority") {
+		t.Errorf("the one that is cut off says %v %.300s", err, text)
+	}
+	w.isolate(w.names[1], false)
+	w.await("home again", home)
+	w.loop.Do(func() {
+		for _, v := range rules.Judge(w.seen, rules.Figures{Zones: []string{"govan", "partick", "dalmarnock"}, Bare: 2 * fleet.Second, Grace: 2 * fleet.Second,
+			Cold: fleet.Second, TipFactor: 4, TipSpan: fleet.Second, QueueMost: 6000}, w.loop.Now()) {
+			if len(v.Breaks) > 0 {
+				t.Errorf("%s: %v", v.Rule, v.Breaks)
+			}
+		}
+	})
+}
--- a/day/day_test.go
+++ b/day/day_test.go
@@ -324,3 +324,38 @@
 type writer func([]byte)
 
 func (w writer) Write(b []byte) (int, error) { w(b); return len(b), nil }
+
+// shared plays a short day of the town with three governors that share the fleet out, and wants every rule kept and each forwarder
+// bound at the end.
+func shared(t *testing.T, length float64, steps ...Step) *Report {
+	t.Helper()
+	r := kept(t, playDay(t, "takeover.hcl", func(s *Script) {
+		s.Name, s.Length, s.Steps, s.Load.Rate = t.Name(), seconds(length), steps, 60
+		s.Shared.Settle, s.Shared.Pace = seconds(1), seconds(0.2)
+	}))
+	if r.Channel.Bound != r.Forwarders {
+		t.Errorf("%d of %d forwarders are bound at the end", r.Channel.Bound, r.Forwarders)
+	}
+	return r
+}
+
+// A member of the group is killed under load, and again: others take its forwarders over, and they come home.
+func TestAMemberIsKilled(t *testing.T) {
+	r := shared(t, 15, Step{Kind: "governor_crash", At: seconds(4), Lasts: seconds(2.5), Part: 0.34, Number: 2, Size: 5})
+	if r.Channel.Joins < 60 {
+		t.Errorf("%d joins of 40 forwarders: nobody was taken over", r.Channel.Joins)
+	}
+}
+
+// A member's process stands still for longer than a lease and goes on with what it had in hand: its leases are over, and whatever of
+// it still comes, nobody obeys.
+func TestAMemberThatStood(t *testing.T) {
+	shared(t, 14, Step{Kind: "governor_stall", At: seconds(4), Lasts: seconds(5), Part: 0.34})
+}
+
+// The whole group is down: forwarders go on with what they hold, and the group starts again.
+func TestTheGroupIsDown(t *testing.T) {
+	if r := shared(t, 14, Step{Kind: "governor_crash", At: seconds(4), Lasts: seconds(4), Part: 1}); r.Service < 0.9 {
+		t.Errorf("service %.3f", r.Service)
+	}
+}
--- a/group/group.go
+++ b/group/group.go
@@ -311,7 +311,7 @@
 // GiveAway has this member's parts moved to others in planned moves, and waits until it holds none or the time is over.
 func (g *Group) GiveAway(within time.Duration) {
 	end := time.Now().Add(within)
-	words := []string{"LEAVE", g.line.Name, "on"}
+	words := []string{"LEAVE", g.line.Name, "ending"}
 	for time.Now().Before(end) {
 		if _, err := g.answerRequest(words); err == nil {
 			break
--- a/group/group_test.go
+++ b/group/group_test.go
@@ -293,6 +293,22 @@
 	})
 }
 
+// A member ends in order: its parts go to the others in planned moves before it is gone, and come back to its next life.
+func TestAMemberEnds(t *testing.T) {
+	p := newParish(t, 3)
+	p.awaitHeld(2, 2, 2)
+	p.up[1].GiveAway(10 * time.Second)
+	p.awaitHeld(3, 0, 3)
+	for _, e := range p.up[0].Status().Events[6:] {
+		if !e.Planned || e.From != "m1" {
+			t.Errorf("%+v", e)
+		}
+	}
+	p.stop(1)
+	p.start(1)
+	p.awaitHeld(2, 2, 2)
+}
+
 // Two more members at once ask to be taken in, and parts come to them; then one is replaced.
 func TestTwoMoreAtOnce(t *testing.T) {
 	p := newParish(t, 1)
--- a/group/member.go
+++ b/group/member.go
@@ -246,7 +246,7 @@
 	}
 	var members []assign.Member
 	for _, s := range m.reg.Members {
-		a := assign.Member{Name: s.Name, Zone: s.Record.Zone, Limit: s.Record.Limit, Leaving: s.Leaving || s.Struck, Here: m.isHere(s, now, alive)}
+		a := assign.Member{Name: s.Name, Zone: s.Record.Zone, Limit: s.Record.Limit, Leaving: s.Leaving || s.Struck, Ending: s.Ending, Here: m.isHere(s, now, alive)}
 		since, was := m.here[s.Name]
 		switch {
 		case !a.Here:
--- a/group/member_test.go
+++ b/group/member_test.go
@@ -323,7 +323,7 @@
 func TestALeavingMember(t *testing.T) {
 	c := newCircle(t, 3)
 	c.run(10 * fleet.Second)
-	c.log = append(c.log, entry{Command{Form: form, Kind: Leave, Member: "m1", On: true, At: c.now}, c.term})
+	c.log = append(c.log, entry{Command{Form: form, Kind: Leave, Member: "m1", On: true, ByHand: true, At: c.now}, c.term})
 	without := fleet.Micros(0)
 	for c.held(1) > 0 || without == 0 {
 		c.step(20 * fleet.Millisecond)
--- a/group/register.go
+++ b/group/register.go
@@ -24,7 +24,7 @@
 	Renew                   // a member asks for parts and goes on with those that it has; without any, it says that it is here
 	Release                 // a member has stopped ordering for parts
 	Plan                    // the leader says who should hold parts
-	Leave                   // an operator has a member give everything away, or take again
+	Leave                   // an operator has a member give everything away, or take again; or (not ByHand) its process ends
 	Strike                  // an operator takes a member that is gone off the register
 )
 
@@ -73,8 +73,9 @@
 	Life    uint64
 	Record  Record
 	Heard   fleet.Micros // its newest Renew, by the leader's clock
-	Leaving bool
-	Struck  bool // its place, and so its number in leases, is never given again
+	Leaving bool         // an operator had it give everything away
+	Ending  bool         // its process is about to end; its next life is not
+	Struck  bool         // its place, and so its number in leases, is never given again
 }
 
 // PartState is a part on the register.
@@ -85,6 +86,7 @@
 	Wanted string
 	ByHand bool
 	Load   float64
+	Last   string // the member that held it last
 }
 
 // Event is an entry of the time line: a grant to another holder than before, or to another life of it.
@@ -202,6 +204,9 @@
 			r.Members = append(r.Members, m)
 		}
 		if c.Life >= m.Life { // else it is late, or of a second process under the same name
+			if c.Life > m.Life {
+				m.Ending = false
+			}
 			m.Life, m.Record, m.Heard, m.Struck = c.Life, *c.Record, c.At, false
 		}
 		return nil
@@ -250,7 +255,11 @@
 	},
 	Leave: func(r *Register, c *Command) []Answered {
 		if m := r.Member(c.Member); m != nil {
-			m.Leaving = c.On
+			if c.ByHand {
+				m.Leaving = c.On
+			} else {
+				m.Ending = c.On
+			}
 		}
 		return nil
 	},
@@ -301,9 +310,7 @@
 
 func (r *Register) granted(c *Command, p *PartState, from lease.Holder) {
 	e := Event{At: c.At, Leader: r.Leader, Part: p.Number, Epoch: p.Lease.Epoch, To: c.Member, Planned: from == lease.Holder{}, Why: r.Whys[p.Number]}
-	if from.Member > 0 {
-		e.From = r.Members[from.Member-1].Name
-	}
+	e.From, p.Last = p.Last, c.Member
 	if e.From == e.To {
 		e.Why = "a new life of the same member"
 	}
--- a/group/wire.go
+++ b/group/wire.go
@@ -121,7 +121,10 @@
 		return false
 	}
 	_ = conn.SetDeadline(time.Time{})
-	from := p.line.linked(conn, string(name))
+	from := net.Conn(conn)
+	if len(name) > 0 { // operators' are no links between members
+		from = p.line.linked(conn, string(name))
+	}
 	switch head[0] {
 	case forRaft:
 		select {
@@ -313,10 +316,10 @@
 		if err := g.mustBeKnown(words[0]); err != nil {
 			return err
 		}
-		if words[1] != "on" && words[1] != "off" {
+		if words[1] != "on" && words[1] != "off" && words[1] != "ending" {
 			return fmt.Errorf("LEAVE: on or off, not %.40q", words[1])
 		}
-		return g.engine.propose(&Command{Form: form, Kind: Leave, Member: words[0], On: words[1] == "on"})
+		return g.engine.propose(&Command{Form: form, Kind: Leave, Member: words[0], On: words[1] != "off", ByHand: words[1] != "ending"})
 	}},
 	"STRIKE": {1, func(g *Group, words []string) error {
 		if err := g.mustBeKnown(words[0]); err != nil {
