--- a/lease/model_test.go
+++ b/lease/model_test.go
@@ -16,7 +16,7 @@
 // A message stays under way for good: one that is never taken is lost, one that is taken twice was doubled, one that is taken after
 // younger ones is late. Orders and fences are not in it: a fence has two lines, and a test of its own.
 const (
-	members = 2
+	members = 3
 	flying  = 6
 	// An old ask that comes again after a release is granted anew, to nobody's use and nobody's harm, as often as it comes.
 	epochsMost = 3
@@ -27,6 +27,7 @@
 	askings [members]uint32 // of each life of a member
 	crashes uint8
 	leaders uint8
+	glances bool  // the next leader sees the part before it leads
 	stops   bool  // holders give up what they hold
 	slow    uint8 // ticks that a member's clock may lose
 	ticks   fleet.Micros
@@ -44,6 +45,14 @@
 	frees   [members]Ask // the newest release of each
 	crashed uint8
 	led     uint8
+	look    glance // of who leads next
+}
+
+// glance is what a member that will lead has seen of the part, and when.
+type glance struct {
+	epoch  uint64
+	number uint32
+	at     fleet.Micros
 }
 
 func (w *world) clock(m int) fleet.Micros { return w.now - fleet.Micros(w.lost[m]) }
@@ -110,7 +119,18 @@
 		n := w
 		n.led++
 		n.part.Lead(n.now)
-		next("another leader", n)
+		next("another leader, which has seen nothing", n)
+		if w.look != (glance{}) {
+			n := w
+			n.led++
+			n.part.LeadSeen(n.now, n.now-n.look.at, n.look.epoch, n.look.number)
+			next(fmt.Sprintf("another leader, which saw epoch %d and ask %d at tick %d", n.look.epoch, n.look.number, n.look.at), n)
+		}
+		if seen := (glance{w.part.Epoch, w.part.Number, w.now}); l.glances && w.part.Epoch > 0 && seen != w.look {
+			n := w
+			n.look = seen
+			next("who leads next sees the part as it is", n)
+		}
 	}
 	for i := range flying {
 		if a := w.asks[i]; a != (Ask{}) {
@@ -216,6 +236,7 @@
 var (
 	terms = Terms{Span: 2, Drift: 1}
 	once  = [members]uint32{1, 1}
+	each  = [members]uint32{1, 1, 1}
 )
 
 // Within the drift that the terms allow, nothing that can happen within the limits lets two order at once.
@@ -226,6 +247,10 @@
 		"another leader":       {askings: once, leaders: 1, slow: 1, ticks: 6},
 		"a crash and a leader": {askings: once, crashes: 1, leaders: 1, ticks: 4},
 		"releases":             {askings: [members]uint32{1, 3}, stops: true},
+		"a leader that saw":    {askings: [members]uint32{2, 1}, leaders: 1, glances: true, ticks: 4},
+		"three":                {askings: each, ticks: 4},
+		"three, slow":          {askings: each, slow: 1, ticks: 3},
+		"three and a leader":   {askings: each, leaders: 1, ticks: 4},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
