Planned moves hand over what the holder heard; a join before the group is open waits for nothing

Change: a governor that gives parts away tells the next one the newest sums of each replica, what is withdrawn and what is not acknowledged; one that stood by opens its gate on them after a period instead of three, an unplanned takeover waits as after any start.

--- a/daemon/serve.go
+++ b/daemon/serve.go
@@ -51,7 +51,7 @@
 	var shared *sharing
 	var leases channel.Leases
 	if g.Group != nil {
-		shared = newSharing()
+		shared = newSharing(g)
 		leases = shared
 	}
 	server, err := channel.Listen(channel.Line{Listen: g.Listen, Leases: leases, Life: found.Life, Zones: g.Zones, Period: terms.Period,
@@ -70,6 +70,7 @@
 	if shared == nil {
 		go host.Run(server, list, found.List)
 	} else {
+		shared.host = host
 		shared.begin = func() { go host.Run(server, list, found.List) }
 		if err := shared.open(g, found.Life, server, now, out.Links, log); err != nil {
 			return err
@@ -84,7 +85,7 @@
 			about.Operations = append(about.Operations, o.Name)
 		}
 		if shared != nil {
-			about.Group = shared.group.Status
+			about.Group = shared.group.Load().Status
 		}
 		pages, err := console.Listen(g.Console, about, desk{host, server, kept})
 		if err != nil {
--- a/daemon/share.go
+++ b/daemon/share.go
@@ -3,6 +3,7 @@
 import (
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -20,29 +21,35 @@
 // the design says of a start (bind nobody, hold weights until each listed replica is named) is then true of an unplanned takeover by
 // a governor that stood by. A nil sharing is a governor alone.
 type sharing struct {
-	group  *group.Group
-	ready  chan struct{} // closed once group is set
+	terms  group.Terms
+	group  atomic.Pointer[group.Group] // nil until it is open: nothing is held before
+	done   chan struct{}
+	wait   sync.WaitGroup
 	server *channel.Server
+	host   *governor.Host
 	begin  func() // starts the host
 	mu     sync.Mutex
 	begun  bool
+	handed []fleet.Sum // to a governor that has not begun; its module hears them once it has a list
 }
 
-func newSharing() *sharing { return &sharing{ready: make(chan struct{})} }
+func newSharing(g *site.Governor) *sharing {
+	of := g.Group
+	return &sharing{done: make(chan struct{}), terms: group.Terms{Lease: lease.Terms{Span: of.Span, Drift: of.Drift},
+		Assign: assign.Terms{Settle: of.Settle, Pace: of.Pace}, Zones: g.Zones, PartsEach: of.Parts}}
+}
 
 func (s *sharing) open(g *site.Governor, life uint64, server *channel.Server, now func() fleet.Micros, links group.Links, log zerolog.Logger) (err error) {
 	s.server = server
 	of := g.Group
 	line := group.Line{Name: g.Name, Zone: of.Zone, Channel: server.Addr(), Listen: of.Listen, Gossip: of.Gossip, Folder: filepath.Join(g.State, "group"),
-		Life: life, Join: of.Join, Limit: of.Limit, Loads: server.Loads, Now: now, Links: links, Log: log,
-		Terms: group.Terms{Lease: lease.Terms{Span: of.Span, Drift: of.Drift}, Assign: assign.Terms{Settle: of.Settle, Pace: of.Pace},
-			Zones: g.Zones, PartsEach: of.Parts}}
+		Life: life, Join: of.Join, Limit: of.Limit, Loads: server.Loads, Hands: group.Hands{Give: s.give, Take: s.take}, Now: now, Links: links, Log: log, Terms: s.terms}
 	for _, m := range of.Members {
 		line.Peers = append(line.Peers, group.Peer{Name: m.Name, Address: m.Address, Gossip: m.Gossip})
 	}
-	s.group, err = group.Open(line, s)
+	opened, err := group.Open(line, s)
 	if err == nil {
-		close(s.ready)
+		s.group.Store(opened)
 	}
 	return err
 }
@@ -54,37 +61,87 @@
 	if !s.begun {
 		s.begun = true
 		s.begin()
+		if len(s.handed) > 0 {
+			handed := s.handed
+			s.handed = nil
+			s.wait.Go(func() { s.tell(handed) })
+		}
+	}
+}
+
+// give is what this governor tells the next holder of parts that it gives away.
+func (s *sharing) give() group.Handover {
+	picture, h := s.server.Picture(), group.Handover{Sums: s.host.Newest()}
+	h.Withdrawn = picture.Withdrawn
+	if v := s.host.View(); v != nil && v.Look != nil {
+		h.Unacknowledged = v.Look.Module.Unacked
+	}
+	return h
+}
+
+// take keeps what a holder told of its parts, if the module here has not begun: it opens its gate on what is named there, while an
+// unplanned takeover waits as after any start. A module that runs has heard of the replicas by itself.
+func (s *sharing) take(h group.Handover) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.begun {
+		s.handed = h.Sums
+	}
+}
+
+// tellFor is how long handed sums wait for the list; later they are old.
+const tellFor = 3 * time.Second
+
+// tell has the module hear sums as soon as it has a list to know the replicas by.
+func (s *sharing) tell(sums []fleet.Sum) {
+	late := time.After(tellFor)
+	for {
+		if v := s.host.View(); v != nil && v.ListAt > 0 {
+			s.host.HandedOver(sums)
+			return
+		}
+		select {
+		case <-time.After(5 * time.Millisecond):
+		case <-late:
+			return
+		case <-s.done:
+			return
+		}
 	}
 }
 
 // Lost ends the streams of a part.
 func (s *sharing) Lost(part int) { s.server.Lost(part) }
 
-// Part, Holds and Holder are what the channel asks. Before the group is open nothing is held.
-func (s *sharing) Part(zone int, name string) int {
-	<-s.ready
-	return s.group.Part(zone, name)
-}
+// Part, Holds and Holder are what the channel asks, under its lock: forwarders join from the moment that its socket is open, so nothing
+// here may wait for the group.
+func (s *sharing) Part(zone int, name string) int { return s.terms.PartOf(zone, name) }
 
 func (s *sharing) Holds(part int) (uint64, bool) {
-	<-s.ready
-	return s.group.Holds(part)
+	if g := s.group.Load(); g != nil {
+		return g.Holds(part)
+	}
+	return 0, false
 }
 
 func (s *sharing) Holder(part int) string {
-	<-s.ready
-	return s.group.Holder(part)
+	if g := s.group.Load(); g != nil {
+		return g.Holder(part)
+	}
+	return ""
 }
 
 func (s *sharing) giveAway(within time.Duration) {
 	if s != nil {
-		s.group.GiveAway(within)
+		s.group.Load().GiveAway(within)
 	}
 }
 
 func (s *sharing) close() {
 	if s != nil {
-		s.group.Close()
+		s.group.Load().Close()
+		close(s.done)
+		s.wait.Wait()
 	}
 }
 
--- a/daemon/share_test.go
+++ b/daemon/share_test.go
@@ -12,7 +12,9 @@
 
 	"github.com/rs/zerolog"
 
+	"peppervale/channel"
 	"peppervale/fleet"
+	"peppervale/governor"
 	"peppervale/group"
 	"peppervale/rules"
 	"peppervale/site"
@@ -199,3 +201,54 @@
 		}
 	})
 }
+
+// A forwarder joins in the moment that the channel's socket is open and the group is not: it is told to come back, and nothing waits.
+func TestAJoinBeforeTheGroup(t *testing.T) {
+	s := newSharing(&site.Governor{Zones: []string{"govan"}, Group: &site.Group{Parts: 4}})
+	if _, ok := s.Holds(s.Part(0, "till-1")); ok || s.Holder(0) != "" {
+		t.Error("a part is held before the group is open")
+	}
+}
+
+// quietRoster and quietChannel are a host's neighbours of whom nothing comes.
+type quietRoster struct{}
+
+func (quietRoster) Follow() {}
+
+type quietChannel struct{}
+
+func (quietChannel) Admit(fleet.ProxyID, uint64) {}
+func (quietChannel) Publish(*channel.Batch)      {}
+
+// A governor that stood by begins with a part. In a planned move it was told what the one before had heard, and its gate opens on that;
+// unplanned it waits, as after any start.
+func TestTheGateAtATakeover(t *testing.T) {
+	for _, planned := range []bool{true, false} {
+		terms := fleet.Terms{Seed: 1, Operations: []fleet.Operation{{Objective: fleet.Second, Value: 1}}, Zones: 1, Subscribe: true, AdmitAll: 1, StandingSize: 6,
+			Period: 2500 * fleet.Millisecond, QueueMost: 1000, Proxies: 10, ConnsLeast: 100, BusyField: -1, Cold: fleet.Second}
+		s := newSharing(&site.Governor{Zones: []string{"govan"}, Group: &site.Group{Parts: 1}})
+		s.host = governor.New(terms, 1000, governor.Clock(), zerolog.Nop())
+		s.begin = func() { go s.host.Run(quietChannel{}, quietRoster{}, nil) }
+		if planned {
+			s.take(group.Handover{Sums: []fleet.Sum{{Replica: replica(1), Tries: 50, Latency: 1000, Span: fleet.Second}, {Replica: replica(2), Tries: 50, Latency: 1000, Span: fleet.Second}}})
+		}
+		s.Gained(0, 1)
+		s.host.Listed(fleet.Whole, []fleet.Listing{{ID: replica(1), Life: fleet.Ready}, {ID: replica(2), Life: fleet.Ready}})
+		s.host.Heard(0, []fleet.Sum{{Replica: replica(1), Tries: 1, Latency: 1000, Span: fleet.Second}}) // of one that joined since
+		open := func() bool { v := s.host.View(); return v != nil && v.GateOpen }
+		for end := time.Now().Add(6 * time.Second); planned && !open(); time.Sleep(5 * time.Millisecond) {
+			if time.Now().After(end) {
+				t.Fatal("the gate waits for its window of three periods, though each replica was named")
+			}
+		}
+		for v := s.host.View(); !planned && (v == nil || v.ListAt == 0); v = s.host.View() {
+			time.Sleep(5 * time.Millisecond)
+		}
+		if !planned && open() {
+			t.Error("the gate opens at once after an unplanned takeover")
+		}
+		close(s.done)
+		s.wait.Wait()
+		s.stop(s.host)
+	}
+}
--- a/governor/governor.go
+++ b/governor/governor.go
@@ -48,6 +48,7 @@
 	worst   fleet.Micros
 	steps   uint64
 	causes  *causes
+	newest  newest
 	wanted  atomic.Int64 // when somebody last looked, by the clock
 	lookAt  fleet.Micros // when the module was last copied
 	look    *Look
@@ -103,7 +104,7 @@
 func New(terms fleet.Terms, intake int, now func() fleet.Micros, log zerolog.Logger) *Host {
 	h := &Host{mailbox: newMailbox(), terms: terms, now: now, log: log,
 		stop: make(chan struct{}), stopped: make(chan struct{}), list: map[fleet.ReplicaID]fleet.Listing{},
-		known: map[fleet.ProxyID]Forwarder{}, causes: newCauses()}
+		known: map[fleet.ProxyID]Forwarder{}, causes: newCauses(), newest: newest{sums: map[key]stamped{}}}
 	h.intake.Store(int64(intake))
 	return h
 }
@@ -210,6 +211,7 @@
 	for _, s := range t.sums {
 		h.module.Heard(now, s)
 	}
+	h.newest.note(now, t.sums)
 	h.causes.sums += len(t.sums)
 }
 
@@ -230,6 +232,7 @@
 		}
 	}
 	if n.scope == fleet.Whole {
+		h.newest.listed(h.list)
 		h.listed = now
 	}
 }
--- /dev/null
+++ b/governor/newest.go
@@ -0,0 +1,70 @@
+package governor
+
+import (
+	"slices"
+	"strings"
+	"sync"
+
+	"peppervale/fleet"
+	"peppervale/tablewire"
+)
+
+// newest keeps the last sum of each replica and zone, for a governor that takes parts of the fleet over in a planned move. It is no
+// part of any decision here.
+type newest struct {
+	mu   sync.Mutex
+	sums map[key]stamped
+}
+
+type stamped struct {
+	sum fleet.Sum
+	at  fleet.Micros
+}
+
+// freshFor is how old a sum may be that is handed over, in report periods: one may be under way, and one was missed.
+const freshFor = 3
+
+func (n *newest) note(now fleet.Micros, sums []fleet.Sum) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, s := range sums {
+		n.sums[key{s.Zone, s.Replica}] = stamped{s, now}
+	}
+}
+
+// listed drops what is not in the list any more, so that no more is kept than the list has, a zone each.
+func (n *newest) listed(list map[fleet.ReplicaID]fleet.Listing) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for k := range n.sums {
+		if _, there := list[k.replica]; !there {
+			delete(n.sums, k)
+		}
+	}
+}
+
+// Newest gives the last sum that each replica was named in, of each zone, as far as it is fresh.
+func (h *Host) Newest() (all []fleet.Sum) {
+	h.newest.mu.Lock()
+	defer h.newest.mu.Unlock()
+	for _, s := range h.newest.sums {
+		if h.now()-s.at <= freshFor*h.terms.Period {
+			all = append(all, s.sum)
+		}
+	}
+	slices.SortFunc(all, func(a, b fleet.Sum) int {
+		if a.Zone != b.Zone {
+			return a.Zone - b.Zone
+		}
+		return strings.Compare(tablewire.Address(a.Replica), tablewire.Address(b.Replica))
+	})
+	return all
+}
+
+// HandedOver has the module hear, in its next step, what another governor was told last.
+func (h *Host) HandedOver(sums []fleet.Sum) {
+	for _, s := range sums {
+		h.Heard(s.Zone, []fleet.Sum{s})
+	}
+	h.ring()
+}
--- a/group/group.go
+++ b/group/group.go
@@ -39,6 +39,7 @@
 	Loads      func() map[int]float64 // traffic that joined forwarders told, by part; nil: not known
 	Now        func() fleet.Micros
 	Links      Links // nil: all reach all
+	Hands      Hands
 	Log        zerolog.Logger
 }
 
@@ -241,6 +242,9 @@
 		case <-g.done:
 			return
 		case c := <-g.send:
+			if c.Kind == Release {
+				g.handOver(c, within)
+			}
 			if g.engine.isLeader() {
 				g.failed(c, g.engine.propose(c))
 				continue
@@ -298,9 +302,6 @@
 	return g.member.Holds(part, g.line.Now())
 }
 
-// Part gives a forwarder's part.
-func (g *Group) Part(zone int, name string) int { return g.line.Terms.PartOf(zone, name) }
-
 // Holder gives the channel address of the member that should hold a part; "" if that is this one, or nobody that is here.
 func (g *Group) Holder(part int) string {
 	g.mu.Lock()
--- a/group/wire.go
+++ b/group/wire.go
@@ -140,7 +140,7 @@
 
 // requests answers commands, one after the other.
 func (p *port) requests(conn net.Conn) {
-	reader := resp.NewReader(resp.Limits{Message: 256 << 10, Bulk: 256 << 10, Items: 64})
+	reader := resp.NewReader(resp.Limits{Message: 4 << 20, Bulk: 4 << 20, Items: 64})
 	buffer := make([]byte, 16<<10)
 	for {
 		_ = conn.SetReadDeadline(time.Now().Add(idleFor))
@@ -267,8 +267,11 @@
 		words = words[1:]
 	}
 	name := strings.ToUpper(words[0])
-	if name == "STATUS" {
+	switch {
+	case name == "STATUS":
 		return json.Marshal(g.Status())
+	case name == "HAND" && len(words) == 2:
+		return nil, g.handed(words[1])
 	}
 	row, known := requests[name]
 	if !known {
