--- a/command/command.go
+++ b/command/command.go
@@ -253,6 +253,7 @@
 	Channel  MeasureChannel  `cmd:"" help:"Time the channel from Publish to the last receipt, beside plain sockets."`
 	Restart  MeasureRestart  `cmd:"" help:"Restart a governor under its forwarders, in four ways."`
 	Takeover MeasureTakeover `cmd:"" help:"Kill one of three governors over and over, with the fleet shared out and not."`
+	Quiet    MeasureQuiet    `cmd:"" help:"Count the messages of a group in which nothing happens."`
 	Storm    MeasureStorm    `cmd:"" help:"Let many forwarders dial at once, with and without admission."`
 }
 
@@ -316,6 +317,27 @@
 	return nil
 }
 
+// MeasureQuiet is peppervale measure quiet.
+type MeasureQuiet struct {
+	Members int           `help:"How many." default:"3"`
+	Parts   int           `help:"Of each member's zone." default:"4"`
+	Span    time.Duration `help:"Of a lease." default:"2s"`
+	While   time.Duration `help:"How long to count." default:"20s"`
+}
+
+// Run is the command.
+func (c *MeasureQuiet) Run(out io.Writer) error {
+	if c.Members < 1 || c.Members > 9 || c.Parts < 1 || c.Parts > 256 || c.Span < 300*time.Millisecond || c.While < time.Second || c.While > time.Hour {
+		return fmt.Errorf("%w: 1 to 9 members, 1 to 256 parts, a lease of 300ms at least and 1s to 1h are wanted", ErrInput)
+	}
+	f, err := measure.Quiet(c.Members, c.Parts, c.Span, c.While)
+	if err != nil {
+		return err
+	}
+	measure.PrintQuiet(out, f)
+	return nil
+}
+
 // MeasureStorm is peppervale measure storm.
 type MeasureStorm struct {
 	Forwarders int       `help:"How many." default:"2000"`
--- a/group/status.go
+++ b/group/status.go
@@ -7,6 +7,7 @@
 	Member  string         `json:"member"`
 	Leader  string         `json:"leader"`
 	Term    uint64         `json:"term"`
+	Agreed  uint64         `json:"agreed"` // entries of the log that this member has carried out
 	Trouble string         `json:"trouble,omitempty"` // what keeps this member from holding anything
 	SpanUs  fleet.Micros   `json:"span_us"`
 	DriftUs fleet.Micros   `json:"drift_us"`
@@ -52,7 +53,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	m := g.member
-	s := Status{Member: m.Name, Leader: leader, Term: m.reg.Term, Trouble: g.why(), SpanUs: m.reg.Span, DriftUs: m.reg.Drift,
+	s := Status{Member: m.Name, Leader: leader, Term: m.reg.Term, Agreed: g.engine.raft.AppliedIndex(), Trouble: g.why(), SpanUs: m.reg.Span, DriftUs: m.reg.Drift,
 		Members: []MemberStatus{}, Parts: []PartStatus{}, Events: append([]Event{}, m.reg.Events...)}
 	at := map[string]int{}
 	for i, one := range m.reg.Members {
