--- a/assign/assign.go
+++ b/assign/assign.go
@@ -12,7 +12,8 @@
 // The rows, for each part; the first that fits counts:
 //
 //	state of the part                          input                            next       effect
-//	with nobody, or its member gone            a member with room               given      at once: there is nothing to lose
+//	with nobody                                a member with room               given      at once
+//	its member gone                            another with room                given      at once: there is nothing to lose
 //	its member ending                          another with room                given      at once: its process waits for it
 //	its member leaving                         another with room                given      one each Pace from it
 //	moved by hand, its member there            any                              stays
@@ -85,7 +86,8 @@
 }
 
 var rows = []row{
-	{why: "its member is gone", fits: func(_ *deal, _ *Part, at *seat) bool { return at == nil || !at.Here }},
+	{why: "with nobody", fits: func(_ *deal, _ *Part, at *seat) bool { return at == nil }},
+	{why: "its member is gone", fits: func(_ *deal, _ *Part, at *seat) bool { return !at.Here }},
 	{why: "its member is ending", fits: func(_ *deal, _ *Part, at *seat) bool { return at.Ending }},
 	{why: "its member is leaving", paced: true, fits: func(_ *deal, _ *Part, at *seat) bool { return at.Leaving }},
 	{why: "moved by hand", fits: func(_ *deal, p *Part, _ *seat) bool { return p.ByHand }},
--- a/command/group.go
+++ b/command/group.go
@@ -91,7 +91,10 @@
 		fmt.Fprintln(w, "\nlast takeovers\tepoch\tfrom\tto\thow\twhy")
 		for _, e := range s.Events[max(0, n-10):] {
 			how := "lease ran out"
-			if e.Planned {
+			switch {
+			case e.From == "":
+				how = "first"
+			case e.Planned:
 				how = "planned"
 			}
 			fmt.Fprintf(w, "part %d\t%d\t%s\t%s\t%s\t%s\n", e.Part, e.Epoch, e.From, e.To, how, e.Why)
--- a/console/body.go
+++ b/console/body.go
@@ -410,6 +410,7 @@
 		return groupPage{Alone: true}, nil
 	}
 	g := groupPage{Status: s.about.Group()}
+	g.Events = slices.Clone(g.Events)
 	slices.Reverse(g.Events) // the newest first
 	return g, nil
 }
