A member that cannot follow what is agreed on renews nothing

Cause: found by a test that fills a member's disk: its requests came through to the leader and were agreed on by the others, so its leases ran on, while it never learnt of a grant: its parts were with nobody for good. Change: Enrol and Renew carry the newest stamp that the member has carried out; one that lags by a span does not count. Tests: the disks of a follower and of the leader full and free again, an older program among newer ones over sockets, the story on a log in memory.

--- a/group/disk.go
+++ b/group/disk.go
@@ -65,6 +65,35 @@
 	})
 }
 
+// fillable is a store whose disk tests fill.
+type fillable struct {
+	*boltraft.BoltStore
+	full func() error
+}
+
+func (f *fillable) StoreLog(l *raft.Log) error { return f.StoreLogs([]*raft.Log{l}) }
+
+func (f *fillable) StoreLogs(all []*raft.Log) error {
+	if err := f.full(); err != nil {
+		return err
+	}
+	return f.BoltStore.StoreLogs(all)
+}
+
+func (f *fillable) Set(key, val []byte) error {
+	if err := f.full(); err != nil {
+		return err
+	}
+	return f.BoltStore.Set(key, val)
+}
+
+func (f *fillable) SetUint64(key []byte, val uint64) error {
+	if err := f.full(); err != nil {
+		return err
+	}
+	return f.BoltStore.SetUint64(key, val)
+}
+
 // patient keeps votes and terms. raft ends the process if they cannot be written; this one tries until they can, so that the governor goes
 // on to the end of its leases, its console tells why, and it comes back with the disk.
 type patient struct {
--- a/group/doc.go
+++ b/group/doc.go
@@ -9,6 +9,7 @@
 //     the drift told against each other within a lease;
 //   - commands stamped by a leader count only in the raft term in which that leader has announced itself, so that the clocks of two
 //     leaders are never compared;
+//   - a member that cannot follow the log renews nothing, though its requests come through;
 //   - a member that meets a command of a newer form than it knows holds nothing from then on, and says so.
 //
 // Caveats: a group without a majority grants nothing; each holder goes on until its leases end, then its forwarders stay on what they
--- a/group/engine.go
+++ b/group/engine.go
@@ -73,9 +73,15 @@
 	conf.SnapshotThreshold, conf.SnapshotInterval, conf.TrailingLogs = snapshotAfter, snapshotEvery, trailing
 	conf.Logger = logger
 	conf.NotifyCh = e.leads
-	stable := &patient{StableStore: e.store, every: span / 2, told: told, ended: e.done}
+	var logs raft.LogStore = e.store
+	var votes raft.StableStore = e.store
+	if l.full != nil {
+		f := &fillable{e.store, l.full}
+		logs, votes = f, f
+	}
+	stable := &patient{StableStore: votes, every: span / 2, told: told, ended: e.done}
 	if !l.Join {
-		known, err := raft.HasExistingState(e.store, stable, snapshots)
+		known, err := raft.HasExistingState(logs, stable, snapshots)
 		if err != nil {
 			return nil, fmt.Errorf("group: %w", err)
 		}
@@ -84,12 +90,12 @@
 			for _, p := range l.Peers {
 				founders.Servers = append(founders.Servers, raft.Server{ID: raft.ServerID(p.Name), Address: raft.ServerAddress(p.Address)})
 			}
-			if err := raft.BootstrapCluster(conf, e.store, stable, snapshots, e.trans, founders); err != nil {
+			if err := raft.BootstrapCluster(conf, logs, stable, snapshots, e.trans, founders); err != nil {
 				return nil, fmt.Errorf("group: founding: %w", err)
 			}
 		}
 	}
-	if e.raft, err = raft.NewRaft(conf, fsm{m}, e.store, stable, snapshots, e.trans); err != nil {
+	if e.raft, err = raft.NewRaft(conf, fsm{m}, logs, stable, snapshots, e.trans); err != nil {
 		return nil, fmt.Errorf("group: %w", err)
 	}
 	go e.watch()
--- a/group/group.go
+++ b/group/group.go
@@ -40,6 +40,8 @@
 	Now        func() fleet.Micros
 	Links      Links // nil: all reach all
 	Hands      Hands
+	full       func() error // of the disk, nil while it can be written; tests fill it
+	knows      uint8        // newest form of commands that is understood, 0: form; tests let one member be newer
 	Log        zerolog.Logger
 }
 
@@ -101,6 +103,9 @@
 		}
 		return -1 // its forwarders are on their way here
 	})
+	if l.knows > 0 {
+		g.member.reg.knows = l.knows
+	}
 	started := make(chan struct{})
 	if g.port, err = openPort(&l, func(words []string) ([]byte, error) {
 		select {
--- a/group/group_test.go
+++ b/group/group_test.go
@@ -1,12 +1,14 @@
 package group
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"os"
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -80,6 +82,7 @@
 	now   func() fleet.Micros
 	lines []Line
 	up    []*Group
+	full  []atomic.Bool // disks, by member
 	lives uint64
 }
 
@@ -105,7 +108,15 @@
 		p.lines = append(p.lines, Line{Name: peer.Name, Zone: quick.Zones[k%3], Channel: fmt.Sprint("127.0.0.1:", 7700+k), Listen: peer.Address, Gossip: peer.Gossip,
 			Folder: filepath.Join(dir, peer.Name), Peers: peers, Terms: quick, Loads: func() map[int]float64 { return map[int]float64{0: 10, 1: 10, 2: 10, 3: 10, 4: 10, 5: 10} }, Now: p.now, Links: p.links, Log: zerolog.Nop()})
 	}
-	p.up = make([]*Group, n)
+	p.up, p.full = make([]*Group, n), make([]atomic.Bool, n)
+	for k := range n {
+		p.lines[k].full = func() error {
+			if p.full[k].Load() {
+				return errors.New("no space left on device")
+			}
+			return nil
+		}
+	}
 	for k := range n {
 		p.start(k)
 	}
@@ -357,6 +368,64 @@
 	}
 }
 
+// The disk of a member is full: it can agree on nothing, its leases end and others take its parts over; with space again it goes on, and
+// nothing of it ended meanwhile.
+func TestAMemberWithAFullDisk(t *testing.T) {
+	p := newParish(t, 3)
+	p.awaitHeld(2, 2, 2)
+	led, _ := p.up[0].engine.leader()
+	for k := range 3 {
+		if leads := led == fmt.Sprint("m", k); !leads { // one that follows, and after it the one that leads
+			p.fill(k)
+			break
+		}
+	}
+	led, _ = p.up[0].engine.leader()
+	var k int
+	fmt.Sscanf(led, "m%d", &k)
+	p.fill(k)
+}
+
+// fill has a member's disk full until its parts are with others, and then free again until they are home.
+func (p *parish) fill(k int) {
+	p.t.Helper()
+	p.full[k].Store(true)
+	want := []int{3, 3, 3}
+	want[k] = 0
+	p.awaitHeld(want...)
+	p.await("it says that something is in the way", func() bool { return p.up[k].Status().Trouble != "" })
+	p.full[k].Store(false)
+	p.awaitHeld(2, 2, 2)
+}
+
+// Two members run a newer program, which has them agree on what the third does not know: it holds nothing any more and says why.
+func TestAnOldProgramOverSockets(t *testing.T) {
+	p := newParish(t, 3)
+	p.awaitHeld(2, 2, 2)
+	for k := range 2 {
+		p.stop(k)
+		p.lines[k].knows = form + 1
+		p.start(k)
+		p.awaitHeld(2, 2, 2)
+	}
+	p.await("one of the newer ones leads and orders", func() bool {
+		led, _ := p.up[2].engine.leader()
+		var k int
+		if _, err := fmt.Sscanf(led, "m%d", &k); err != nil {
+			return false
+		}
+		if k == 2 {
+			_ = p.up[2].engine.raft.LeadershipTransfer().Error()
+			return false
+		}
+		return p.up[k].engine.propose(&Command{Form: form + 1, Kind: 99}) == nil
+	})
+	p.awaitHeld(3, 3, 0)
+	if why := p.up[2].Status().Trouble; !strings.Contains(why, "update it") {
+		t.Errorf("it says %q", why)
+	}
+}
+
 // Votes cannot be written for a while: nothing ends, the reason is told, and it goes on when they can.
 func TestADiskThatIsFull(t *testing.T) {
 	ended := make(chan struct{})
--- a/group/member.go
+++ b/group/member.go
@@ -16,6 +16,7 @@
 //	not held                 wanted here                          asked      in the next Renew, each Span/3, or Span/10 after a refusal
 //	asked                    granted                              held       Gained, once
 //	held                     Renew granted                        held       for another Span from the ask
+//	held                     Renew of one that lags               held       not counted: the lease runs out
 //	held                     wanted elsewhere                     given up   Lost, then a Release
 //	held                     its time is up                       not held   Lost
 //	held                     a newer form, or other settings      given up   Lost, no Release: what it would do is not known
@@ -32,6 +33,7 @@
 	askAt   fleet.Micros // the next Renew
 	asked   fleet.Micros // the newest one left
 	waits   bool         // for its answer
+	fresh   fleet.Micros // the leader's stamp of what was carried out last, in its term
 	agreed  fleet.Micros // the newest Renew of this life came back from the log
 	refused bool
 	enrolAt fleet.Micros
@@ -64,10 +66,13 @@
 
 // Applied takes a command of the log.
 func (m *Member) Applied(c *Command, term uint64, now fleet.Micros) {
-	if c.Kind == Lead && c.Form <= form {
+	if c.Kind == Lead && c.Form <= m.reg.knows {
 		m.reg.Term = term
 		m.askAt, m.waits = now, false // what the leader before was asked is lost, or its answer is here already
 	}
+	if term == m.reg.Term {
+		m.fresh = c.At
+	}
 	for _, a := range m.reg.Apply(c, term) {
 		if a.Granted && a.Part < len(m.seen) {
 			m.seen[a.Part] = now
@@ -186,7 +191,7 @@
 	}
 	m.enrolAt = now + m.terms.Lease.Span/3
 	record := m.Record
-	return &Command{Form: form, Kind: Enrol, Member: m.Name, Life: m.Life, Record: &record}
+	return &Command{Form: form, Kind: Enrol, Member: m.Name, Life: m.Life, Record: &record, Fresh: m.fresh}
 }
 
 // OtherSettings tells that the group was begun with settings that differ from this member's where all must be alike.
@@ -210,7 +215,7 @@
 		return nil
 	}
 	m.asked, m.askAt, m.waits, m.refused = now, now+span/3, true, false
-	c := &Command{Form: form, Kind: Renew, Member: m.Name, Life: m.Life}
+	c := &Command{Form: form, Kind: Renew, Member: m.Name, Life: m.Life, Fresh: m.fresh}
 	for part, p := range m.reg.Parts {
 		if p.Wanted != m.Name || part >= len(m.claims) {
 			continue
--- a/group/member_test.go
+++ b/group/member_test.go
@@ -33,7 +33,8 @@
 type one struct {
 	*Member
 	up, cut bool
-	at      int // entries that it has taken
+	deaf    bool // it hears nothing of the log, but is heard
+	at      int  // entries that it has taken
 	lost    fleet.Micros
 	lives   uint64
 }
@@ -110,7 +111,7 @@
 }
 
 func (c *circle) carry(o *one) {
-	for ; !o.cut && c.majority() && o.at < len(c.log); o.at++ {
+	for ; !o.cut && !o.deaf && c.majority() && o.at < len(c.log); o.at++ {
 		e := c.log[o.at]
 		o.Applied(&e.c, e.term, o.clock(c))
 	}
@@ -276,6 +277,19 @@
 	c.want(2, 2, 2)
 }
 
+// A member's requests come through, and nothing that is agreed on comes to it (a full disk, a link that is open one way only): its renewals
+// do not count, and others take over. They once counted, and its parts were with nobody.
+func TestAMemberThatCannotFollow(t *testing.T) {
+	c := newCircle(t, 3)
+	c.run(5 * fleet.Second)
+	c.members[1].deaf = true
+	c.run(5 * town.Lease.Span)
+	c.want(3, 0, 3)
+	c.members[1].deaf = false
+	c.run(10 * fleet.Second)
+	c.want(2, 2, 2)
+}
+
 // A majority is lost: the rest orders to the end of its leases and then nothing; with the majority back it all goes on.
 func TestAMajorityIsLost(t *testing.T) {
 	c := newCircle(t, 3)
--- a/group/register.go
+++ b/group/register.go
@@ -33,6 +33,7 @@
 	Form   uint8
 	Kind   Kind
 	At     fleet.Micros // the leader's clock; it stamps each
+	Fresh  fleet.Micros // Enrol, Renew: the stamp of this term that the member has carried out last
 	Member string
 	Life   uint64
 	Record *Record                 `cbor:",omitempty"`
@@ -115,12 +116,13 @@
 	Parts   []*PartState
 	Events  []Event
 	Whys    map[int]string // of the newest plan of a part that is not held as wanted yet
+	knows   uint8          // the newest form that this program understands
 	Newer   uint8          // the form of a command that this program does not know; nothing counts after it
 }
 
 // NewRegister is the register of a group that has agreed on nothing.
 func NewRegister(t Terms) *Register {
-	r := &Register{Form: form, Span: t.Lease.Span, Drift: t.Lease.Drift, Whys: map[int]string{}}
+	r := &Register{Form: form, knows: form, Span: t.Lease.Span, Drift: t.Lease.Drift, Whys: map[int]string{}}
 	for _, zone := range t.Zones {
 		for range t.PartsEach {
 			r.Parts = append(r.Parts, &PartState{Number: len(r.Parts), Zone: zone})
@@ -163,7 +165,7 @@
 
 // Apply takes a command that was agreed on in a raft term, and gives the answers to a Renew.
 func (r *Register) Apply(c *Command, term uint64) []Answered {
-	if r.Newer == 0 && c.Form > form {
+	if r.Newer == 0 && c.Form > r.knows {
 		r.Newer = c.Form
 	}
 	if r.Newer > 0 || c.Kind != Lead && term != r.Term {
@@ -195,7 +197,7 @@
 		return nil
 	},
 	Enrol: func(r *Register, c *Command) []Answered {
-		if c.Record == nil {
+		if c.Record == nil || r.lags(c) {
 			return nil
 		}
 		m := r.Member(c.Member)
@@ -213,7 +215,7 @@
 	},
 	Renew: func(r *Register, c *Command) (answers []Answered) {
 		m, number := r.number(c)
-		if m == nil {
+		if m == nil || r.lags(c) {
 			return nil
 		}
 		m.Heard = c.At
@@ -271,6 +273,10 @@
 	},
 }
 
+// lags tells that a member asks without following what is agreed on: its disk is full, or only one way of a link is open. It would not
+// learn that a part was granted to it, and hold it up for the others.
+func (r *Register) lags(c *Command) bool { return c.At-c.Fresh > r.Span }
+
 func (r *Register) terms() lease.Terms { return lease.Terms{Span: r.Span, Drift: r.Drift} }
 
 // Member gives a member by its name; nil for none.
@@ -324,14 +330,14 @@
 // Bytes is the register as a snapshot has it.
 func (r *Register) Bytes() ([]byte, error) {
 	if r.Newer > 0 {
-		return nil, fmt.Errorf("group: a command of form %d is agreed on, this program knows %d: no snapshot of what it does not know", r.Newer, form)
+		return nil, fmt.Errorf("group: a command of form %d is agreed on, this program knows %d: no snapshot of what it does not know", r.Newer, r.knows)
 	}
 	return cbor.Marshal(r)
 }
 
 // ReadRegister reads a snapshot.
 func ReadRegister(b []byte) (*Register, error) {
-	r := &Register{}
+	r := &Register{knows: form}
 	if err := cbor.Unmarshal(b, r); err != nil {
 		return nil, fmt.Errorf("group: a snapshot that cannot be read: %w", err)
 	}
--- a/group/status.go
+++ b/group/status.go
@@ -7,7 +7,7 @@
 	Member  string         `json:"member"`
 	Leader  string         `json:"leader"`
 	Term    uint64         `json:"term"`
-	Agreed  uint64         `json:"agreed"` // entries of the log that this member has carried out
+	Agreed  uint64         `json:"agreed"`            // entries of the log that this member has carried out
 	Trouble string         `json:"trouble,omitempty"` // what keeps this member from holding anything
 	SpanUs  fleet.Micros   `json:"span_us"`
 	DriftUs fleet.Micros   `json:"drift_us"`
