No majority anywhere: drains go out to the end of the leases, then nobody orders, and says why

Over sockets: three daemons whose links are all cut; a replica that drains then is withdrawn by each holder while its lease runs, forwarders keep what they hold after, and all come home with the links.

--- a/daemon/share_test.go
+++ b/daemon/share_test.go
@@ -31,6 +31,7 @@
 	pages      []string
 	ports      []string
 	forwarders []*forwarder.Forwarder
+	list       *registry.Registry
 	mu         sync.Mutex
 	cut        map[string]bool // members that reach no other and are reached by none
 	seen       []rules.Seen
@@ -48,7 +49,7 @@
 	w.cut[name] = cut
 }
 
-func found(t *testing.T) *town {
+func found(t *testing.T, lease string) *town {
 	zones := []string{"govan", "partick", "dalmarnock"}
 	w := &town{t: t, cut: map[string]bool{}}
 	dir := t.TempDir()
@@ -60,14 +61,14 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(engine.Stop)
-	list, err := registry.New(w.loop, "127.0.0.1:0", "recipe", func(rules.Seen) {})
+	w.list, err = registry.New(w.loop, "127.0.0.1:0", "recipe", func(rules.Seen) {})
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(list.Close)
+	t.Cleanup(w.list.Close)
 	w.loop.Do(func() {
 		for n, zone := range zones {
-			list.Set(registry.Entry{ID: replica(byte(n + 1)), Zone: zone})
+			w.list.Set(registry.Entry{ID: replica(byte(n + 1)), Zone: zone})
 		}
 	})
 	var members string
@@ -112,12 +113,12 @@
   gossip = %q
   zone = %q
   parts = 2
-  span = "1s"
+  span = %q
   settle = "1s"
   pace = "100ms"
   %s
 }
-`, w.names[k], channels[k].Address, w.names[k]+".state", w.pages[k], list.Addr(), w.ports[k], gossip[k], zone, members)
+`, w.names[k], channels[k].Address, w.names[k]+".state", w.pages[k], w.list.Addr(), w.ports[k], gossip[k], zone, lease, members)
 		path := filepath.Join(dir, w.names[k]+".hcl")
 		if err := os.WriteFile(path, []byte(text), 0o644); err != nil {
 			t.Fatal(err)
@@ -181,7 +182,7 @@
 // One governor is cut off from the others but not from its forwarders: it believes that it governs them, and they it, to the end of its
 // leases; then others do. No epoch has two holders, as judged from what the forwarders were sent.
 func TestCutOffFromTheGroup(t *testing.T) {
-	w := found(t)
+	w := found(t, "1s")
 	home := func(k int, governor string) bool { return governor == w.names[k%3] }
 	w.await("each at home", home)
 	w.isolate(w.names[1], true)
@@ -202,6 +203,55 @@
 	})
 }
 
+// All links between governors are cut: there is no majority anywhere. Each goes on ordering its own forwarders to the end of its leases, a
+// drain too; then nobody orders, the forwarders keep what they hold, and each governor says why. With the links back it all goes on.
+func TestNoMajority(t *testing.T) {
+	w := found(t, "3s")
+	home := func(k int, governor string) bool { return governor == w.names[k%3] }
+	w.await("each at home", home)
+	for _, name := range w.names {
+		w.isolate(name, true)
+	}
+	w.loop.Do(func() { w.list.Set(registry.Entry{ID: replica(1), Zone: "govan", Draining: true}) })
+	all := func(what string, is func(f *forwarder.Forwarder) bool) {
+		t.Helper()
+		for until := time.Now().Add(20 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+			so := true
+			w.loop.Do(func() {
+				for _, f := range w.forwarders {
+					so = so && is(f)
+				}
+			})
+			if so {
+				return
+			}
+			if time.Now().After(until) {
+				t.Fatalf("never: %s", what)
+			}
+		}
+	}
+	sends := func(f *forwarder.Forwarder) bool { // to the replica that drains
+		for _, l := range f.Holds() {
+			if l.Replica == replica(1) && l.Weight > 0 && !l.Shut {
+				return true
+			}
+		}
+		return false
+	}
+	all("withdrawn", func(f *forwarder.Forwarder) bool { return f.Joined() != "" && !sends(f) })
+	all("ordered by nobody", func(f *forwarder.Forwarder) bool { return f.Joined() == "" })
+	all("on what it holds", func(f *forwarder.Forwarder) bool { return len(f.Holds()) > 0 && !sends(f) })
+	for _, port := range w.ports {
+		if text, err := group.Ask(port, 5*time.Second, "STATUS"); err != nil || !strings.Contains(text, "majority") {
+			t.Errorf("%v %.300s", err, text)
+		}
+	}
+	for _, name := range w.names {
+		w.isolate(name, false)
+	}
+	w.await("home again", home)
+}
+
 // A forwarder joins in the moment that the channel's socket is open and the group is not: it is told to come back, and nothing waits.
 func TestAJoinBeforeTheGroup(t *testing.T) {
 	s := newSharing(&site.Governor{Zones: []string{"govan"}, Group: &site.Group{Parts: 4}})
