Forwarders that do not reach their holder are given to a member that they reach

Cause: a link cut between a zone's forwarders and their holder only: the group sees nothing amiss, every other member sends them back, and they are orphans for as long as it lasts. Change: a governor counts forwarders that go on asking it for a part of another's; with none of the part joined to its holder for a lease's time the part moves to the member asked most, and not back for a minute unless it must.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -14,6 +14,7 @@
 //	state of the part                          input                            next       effect
 //	with nobody                                a member with room               given      at once
 //	its member gone                            another with room                given      at once: there is nothing to lose
+//	its forwarders do not reach its member     the member that they ask instead         given      at once, and not back for AwayFor
 //	its member ending                          another with room                given      at once: its process waits for it
 //	its member leaving                         another with room                given      one each Pace from it
 //	moved by hand, its member there            any                              stays
@@ -51,7 +52,8 @@
 	Zone   string
 	Load   float64 // invocations a second that its forwarders told
 	Wanted string
-	ByHand bool // an operator put it where it is
+	ByHand bool   // an operator put it where it is
+	Asked  string // the member that its forwarders ask instead, as none of them reaches its own; "" otherwise
 }
 
 // Move says who should hold a part from now on, and why.
@@ -61,11 +63,22 @@
 	Why      string
 }
 
-// Mover remembers when it last moved a part from or to a member. The zero Mover has moved nothing; a new leader's is one.
+// Mover remembers when it last moved a part from or to a member, and from whom it was moved as nobody reached that one. The zero Mover has
+// moved nothing; a new leader's is one.
 type Mover struct {
 	touched map[string]fleet.Micros
+	away    map[away]fleet.Micros
 }
 
+type away struct {
+	part   int
+	member string
+}
+
+// AwayFor is how long a part is not moved back without need to a member that its forwarders did not reach: a cut link that stays cut would
+// cost them a lease's time without orders at each return, and a minute makes that some hundredths.
+const AwayFor = 60 * fleet.Second
+
 // seat is a member with what it has by the moves so far.
 type seat struct {
 	*Member
@@ -82,12 +95,14 @@
 	steady bool // to a member that was there for Settle
 	paced  bool
 	near   bool // only to the part's own zone
+	asked  bool // only to the member that its forwarders ask
 	evener bool // only if the two are evener after
 }
 
 var rows = []row{
 	{why: "with nobody", fits: func(_ *deal, _ *Part, at *seat) bool { return at == nil }},
 	{why: "its member is gone", fits: func(_ *deal, _ *Part, at *seat) bool { return !at.Here }},
+	{why: "its forwarders do not reach its member", asked: true, fits: func(_ *deal, p *Part, at *seat) bool { return p.Asked != "" && p.Asked != at.Name }},
 	{why: "its member is ending", fits: func(_ *deal, _ *Part, at *seat) bool { return at.Ending }},
 	{why: "its member is leaving", paced: true, fits: func(_ *deal, _ *Part, at *seat) bool { return at.Leaving }},
 	{why: "moved by hand", fits: func(_ *deal, p *Part, _ *seat) bool { return p.ByHand }},
@@ -108,7 +123,7 @@
 // Decide gives the moves of now.
 func (m *Mover) Decide(t Terms, now fleet.Micros, members []Member, parts []Part) (moves []Move) {
 	if m.touched == nil {
-		m.touched = map[string]fleet.Micros{}
+		m.touched, m.away = map[string]fleet.Micros{}, map[away]fleet.Micros{}
 	}
 	d := &deal{Terms: t, now: now, mover: m, by: map[string]*seat{}}
 	for i := range members {
@@ -165,6 +180,8 @@
 		case r.steady && d.now-s.Since < d.Settle:
 		case r.paced && r.steady && !d.due(s):
 		case r.near && s.Zone != p.Zone:
+		case r.asked && s.Name != p.Asked:
+		case r.steady && d.wasAway(p, s):
 		case r.evener && (d.distance(s, p) > d.distance(at, p) || !evener(at, s, p)):
 		case best == nil || d.closer(s, best, p):
 			best = s
@@ -192,6 +209,12 @@
 	return cmp.Or(cmp.Compare(d.distance(a, p), d.distance(b, p)), cmp.Compare(a.load, b.load), cmp.Compare(a.parts, b.parts)) < 0
 }
 
+// wasAway tells whether a part was moved from a member lately as nobody reached that one.
+func (d *deal) wasAway(p *Part, s *seat) bool {
+	at, was := d.mover.away[away{p.Number, s.Name}]
+	return was && d.now-at < AwayFor
+}
+
 func (d *deal) due(s *seat) bool {
 	at, moved := d.mover.touched[s.Name]
 	return !moved || d.now-at >= d.Pace
@@ -205,12 +228,15 @@
 		if r.paced {
 			d.mover.touched[at.Name] = d.now
 		}
+		if r.asked {
+			d.mover.away[away{p.Number, at.Name}] = d.now
+		}
 	}
 	if r.paced && r.steady {
 		d.mover.touched[to.Name] = d.now
 	}
 	to.load += p.Load
 	to.parts++
-	p.Wanted, p.ByHand = to.Name, false
+	p.Wanted, p.ByHand, p.Asked = to.Name, false, ""
 	return m
 }
--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -127,6 +127,28 @@
 	}
 }
 
+// A part's forwarders reach another member and not their own: the other gets it, and it isn't sent back into the cut for a while.
+func TestNobodyReachesItsMember(t *testing.T) {
+	h := newHall(2, 2, 10)
+	h.step(0)
+	h.parts[0].Asked = "member-zone1"
+	if moves := h.step(fleet.Second); len(moves) != 1 || moves[0].Part != 0 || moves[0].To != "member-zone1" {
+		t.Fatalf("%v", moves)
+	}
+	for span := fleet.Micros(0); span < AwayFor-terms.Pace; span += terms.Pace {
+		for _, m := range h.step(terms.Pace) {
+			if m.Part == 0 {
+				t.Fatalf("after %d us: %+v", span, m)
+			}
+		}
+	}
+	h.step(2 * terms.Pace)
+	h.step(2 * terms.Pace)
+	if h.parts[0].Wanted != "member-zone0" {
+		t.Errorf("it stays with %s", h.parts[0].Wanted)
+	}
+}
+
 // A member that ends gives all away at once.
 func TestEnding(t *testing.T) {
 	h := newHall(3, 4, 10)
--- a/channel/server.go
+++ b/channel/server.go
@@ -129,6 +129,7 @@
 	numbers   map[string]fleet.ProxyID
 	observers int
 	folded    map[*peer]bool
+	strays    map[string]*stray // forwarders whose part another governor has, by name
 	lastID    uint64
 	stats     Stats
 	closing   bool
@@ -142,7 +143,7 @@
 	s := &Server{line: line, events: events, wake: make(chan struct{}, 1), done: make(chan struct{}),
 		gate: admission.New(line.Joins, line.Now()), board: newBoard(line.Life, line.Overhead), pacer: pacer{perSecond: line.Pace},
 		peers: map[*nbio.Conn]*peer{}, streams: map[fleet.ProxyID]*peer{}, numbers: map[string]fleet.ProxyID{},
-		folded: map[*peer]bool{}}
+		folded: map[*peer]bool{}, strays: map[string]*stray{}}
 	var err error
 	s.engine, err = sockets.Start(2, sockets.Handlers{Open: s.opened, Data: s.came, Close: s.closed, Wrote: func(c *nbio.Conn, n int) {
 		if p, ok := c.Session().(*peer); ok && n > 0 {
@@ -343,6 +344,7 @@
 		return
 	}
 	s.stats.Moved++
+	s.strayed(p)
 	if to := s.line.Leases.Holder(p.part); to != "" {
 		s.refuse(p, fmt.Sprintf(movedTo+" %d %s: join there; keep what you hold", p.part, to))
 	} else {
@@ -353,6 +355,43 @@
 // againIn is when a part that nobody holds is worth asking for again: a lease changes hands in some multiples of it.
 const againIn = 100 * time.Millisecond
 
+// stray is a forwarder that asks here for a part of another governor.
+type stray struct {
+	part        int
+	first, last fleet.Micros
+}
+
+// straysMost bounds those that are remembered; the rest is not counted.
+const straysMost = 10_000
+
+// strayFor is how long a stray is remembered after it asked: one that cannot reach its own governor is back within a dial's time-out and
+// some waits.
+const strayFor = 5 * fleet.Second
+
+func (s *Server) strayed(p *peer) {
+	now, name := s.line.Now(), p.join.Name
+	if one := s.strays[name]; one != nil && now-one.last < strayFor && one.part == p.part {
+		one.last = now
+	} else if one != nil || len(s.strays) < straysMost {
+		s.strays[name] = &stray{p.part, now, now}
+	}
+}
+
+// Strays counts the forwarders that went on asking here for at least so long, though they were told where to join, by part.
+func (s *Server) Strays(since fleet.Micros) map[int]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now, counts := s.line.Now(), map[int]int{}
+	for name, one := range s.strays {
+		if now-one.last >= strayFor {
+			delete(s.strays, name)
+		} else if one.last-one.first >= since {
+			counts[one.part]++
+		}
+	}
+	return counts
+}
+
 // Lost ends the streams of a part that this governor holds no longer. When it returns no message for the part is under way.
 func (s *Server) Lost(part int) {
 	s.mu.Lock()
--- a/daemon/share.go
+++ b/daemon/share.go
@@ -43,7 +43,7 @@
 	s.server = server
 	of := g.Group
 	line := group.Line{Name: g.Name, Zone: of.Zone, Channel: server.Addr(), Listen: of.Listen, Gossip: of.Gossip, Folder: filepath.Join(g.State, "group"),
-		Life: life, Join: of.Join, Limit: of.Limit, Loads: server.Loads, Hands: group.Hands{Give: s.give, Take: s.take}, Now: now, Links: links, Log: log, Terms: s.terms}
+		Life: life, Join: of.Join, Limit: of.Limit, Loads: server.Loads, Strays: func() map[int]int { return server.Strays(of.Span / 2) }, Hands: group.Hands{Give: s.give, Take: s.take}, Now: now, Links: links, Log: log, Terms: s.terms}
 	for _, m := range of.Members {
 		line.Peers = append(line.Peers, group.Peer{Name: m.Name, Address: m.Address, Gossip: m.Gossip})
 	}
--- a/daemon/share_test.go
+++ b/daemon/share_test.go
@@ -203,6 +203,25 @@
 	})
 }
 
+// The forwarders of one zone cannot reach their governor, which everybody else reaches: they ask others over and over, so their parts go to
+// one that they reach, and aren't sent back while it is so.
+func TestForwardersCutOffFromTheirHolder(t *testing.T) {
+	w := found(t, "1s")
+	home := func(k int, governor string) bool { return governor == w.names[k%3] }
+	w.await("each at home", home)
+	w.loop.Do(func() {
+		for k, f := range w.forwarders {
+			if k%3 == 1 {
+				f.Cut[w.names[1]] = true
+				f.Break()
+			}
+		}
+	})
+	w.await("ordered by others", func(k int, governor string) bool {
+		return k%3 != 1 && home(k, governor) || k%3 == 1 && governor != "" && governor != w.names[1]
+	})
+}
+
 // All links between governors are cut: there is no majority anywhere. Each goes on ordering its own forwarders to the end of its leases, a
 // drain too; then nobody orders, the forwarders keep what they hold, and each governor says why. With the links back it all goes on.
 func TestNoMajority(t *testing.T) {
--- a/group/group.go
+++ b/group/group.go
@@ -7,6 +7,7 @@
 	stdlog "log"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -38,7 +39,8 @@
 	Limit      float64                // invocations a second that it governs at most; 0: any
 	Loads      func() map[int]float64 // traffic that joined forwarders told, by part; nil: not known
 	Now        func() fleet.Micros
-	Links      Links // nil: all reach all
+	Strays     func() map[int]int // forwarders that ask here over and over, by part; nil: not known
+	Links      Links              // nil: all reach all
 	Hands      Hands
 	full       func() error // of the disk, nil while it can be written; tests fill it
 	knows      uint8        // newest form of commands that is understood, 0: form; tests let one member be newer
@@ -87,6 +89,7 @@
 	disk    error // votes cannot be written
 	trouble string
 	loads   map[int]float64
+	strays  []Stray
 	moved   time.Time // it last gave up leading, as its settings are not the group's
 }
 
@@ -103,6 +106,7 @@
 		}
 		return -1 // its forwarders are on their way here
 	})
+	g.member.strays = func() []Stray { return g.strays }
 	if l.knows > 0 {
 		g.member.reg.knows = l.knows
 	}
@@ -153,6 +157,7 @@
 	defer tick.Stop()
 	var weighed time.Time
 	var loads map[int]float64
+	var strays []Stray
 	for {
 		select {
 		case <-g.done:
@@ -168,9 +173,10 @@
 		// Asked for outside of the lock: who tells it may wait for this member's word on a lease.
 		if now := time.Now(); g.line.Loads != nil && now.Sub(weighed) > 10*every {
 			weighed, loads = now, g.line.Loads()
+			strays = sorted(g.line.Strays)
 		}
 		g.mu.Lock()
-		g.loads = loads
+		g.loads, g.strays = loads, strays
 		changes, proposals := g.member.Tick(g.line.Now(), leads, func(name string) bool { return alive[name] })
 		g.tell()
 		transfer := leads && g.member.OtherSettings() && time.Since(g.moved) > 10*time.Second
@@ -199,6 +205,17 @@
 	}
 }
 
+func sorted(from func() map[int]int) (all []Stray) {
+	if from == nil {
+		return nil
+	}
+	for part, n := range from() {
+		all = append(all, Stray{part, n})
+	}
+	slices.SortFunc(all, func(a, b Stray) int { return a.Part - b.Part })
+	return all
+}
+
 // tell logs what keeps this member from holding anything, once each time that it changes.
 func (g *Group) tell() {
 	trouble := g.why()
--- a/group/member.go
+++ b/group/member.go
@@ -29,6 +29,7 @@
 	claims []lease.Claim
 	told   []uint64 // epoch in which Gained was told; 0: not held
 	load   func(part int) float64
+	strays func() []Stray // nil: not known
 
 	askAt   fleet.Micros // the next Renew
 	asked   fleet.Micros // the newest one left
@@ -43,6 +44,7 @@
 
 	mover  assign.Mover
 	here   map[string]fleet.Micros // since when, by this leader
+	lonely map[int]fleet.Micros    // parts whose forwarders ask elsewhere, since when
 	planAt fleet.Micros            // a plan left: none before
 	led    uint64                  // term of the last Tick as leader
 	ledAt  fleet.Micros            // the first of that term
@@ -216,6 +218,9 @@
 	}
 	m.asked, m.askAt, m.waits, m.refused = now, now+span/3, true, false
 	c := &Command{Form: form, Kind: Renew, Member: m.Name, Life: m.Life, Fresh: m.fresh}
+	if m.strays != nil {
+		c.Strays = m.strays()
+	}
 	for part, p := range m.reg.Parts {
 		if p.Wanted != m.Name || part >= len(m.claims) {
 			continue
@@ -239,7 +244,7 @@
 	}
 	if m.led != m.reg.Term { // a new leader has seen nobody yet
 		m.led, m.ledAt, m.planAt = m.reg.Term, now, 0
-		m.mover, m.here = assign.Mover{}, map[string]fleet.Micros{}
+		m.mover, m.here, m.lonely = assign.Mover{}, map[string]fleet.Micros{}, map[int]fleet.Micros{}
 	}
 	// Members that start together enrol within some round trips. A plan made at once gave the first of them the whole fleet, to be moved
 	// part by part after.
@@ -265,7 +270,7 @@
 	}
 	var parts []assign.Part
 	for _, p := range m.reg.Parts {
-		parts = append(parts, assign.Part{Number: p.Number, Zone: p.Zone, Load: p.Load, Wanted: p.Wanted, ByHand: p.ByHand})
+		parts = append(parts, assign.Part{Number: p.Number, Zone: p.Zone, Load: p.Load, Wanted: p.Wanted, ByHand: p.ByHand, Asked: m.askedInstead(p, now)})
 	}
 	moves := m.mover.Decide(m.terms.Assign, now, members, parts)
 	if len(moves) == 0 {
@@ -275,6 +280,32 @@
 	return &Command{Form: form, Kind: Plan, Member: m.Name, Moves: moves}
 }
 
+// askedInstead gives the member that most of a part's forwarders go on asking while none of them is joined to its holder, for a lease's
+// time already: their link to the holder is cut, though the group's is not. "" for none.
+func (m *Member) askedInstead(p *PartState, now fleet.Micros) string {
+	most, name := 0, ""
+	for _, s := range m.reg.Members {
+		for _, stray := range s.Strays {
+			if stray.Part == p.Number && stray.Forwarders > most && s.Name != p.Wanted {
+				most, name = stray.Forwarders, s.Name
+			}
+		}
+	}
+	if !p.Empty || most == 0 || m.reg.Holder(p) != p.Wanted {
+		delete(m.lonely, p.Number)
+		return ""
+	}
+	since, known := m.lonely[p.Number]
+	if !known {
+		since = now
+		m.lonely[p.Number] = now
+	}
+	if now-since < m.terms.Lease.Span {
+		return ""
+	}
+	return name
+}
+
 // isHere tells whether the leader counts on a member. Renewals are the proof; gossip only shortens the wait: it may say that one is
 // gone whose renewal is due anyway, and never that one is here who doesn't renew.
 func (m *Member) isHere(s *MemberState, now fleet.Micros, alive func(string) bool) bool {
--- a/group/register.go
+++ b/group/register.go
@@ -38,6 +38,7 @@
 	Life   uint64
 	Record *Record                 `cbor:",omitempty"`
 	Asks   []PartAsk               `cbor:",omitempty"`
+	Strays []Stray                 `cbor:",omitempty"` // Renew: forwarders that ask this member over and over for parts of others
 	Moves  []assign.Move           `cbor:",omitempty"`
 	Seen   []PartSeen              `cbor:",omitempty"` // Lead: of each part, by its number
 	Heard  map[string]fleet.Micros `cbor:",omitempty"` // Lead: how long ago members renewed
@@ -49,9 +50,12 @@
 type PartAsk struct {
 	Part   int
 	Number uint32
-	Load   float64 // Renew: what its joined forwarders told, invocations a second; below 0: not known
+	Load   float64 // Renew: what its joined forwarders told, invocations a second; below 0: none is joined
 }
 
+// Stray is how many forwarders of a part go on asking a member that does not hold it.
+type Stray struct{ Part, Forwarders int }
+
 // PartSeen is what a new leader has seen of a part before it led: the newest renewal, and how long ago by its own clock.
 type PartSeen struct {
 	Epoch  uint64
@@ -76,7 +80,8 @@
 	Heard   fleet.Micros // its newest Renew, by the leader's clock
 	Leaving bool         // an operator had it give everything away
 	Ending  bool         // its process is about to end; its next life is not
-	Struck  bool         // its place, and so its number in leases, is never given again
+	Strays  []Stray
+	Struck  bool // its place, and so its number in leases, is never given again
 }
 
 // PartState is a part on the register.
@@ -88,6 +93,7 @@
 	ByHand bool
 	Load   float64
 	Last   string // the member that held it last
+	Empty  bool   // held, and none of its forwarders is joined
 }
 
 // Event is an entry of the time line: a grant to another holder than before, or to another life of it.
@@ -218,7 +224,7 @@
 		if m == nil || r.lags(c) {
 			return nil
 		}
-		m.Heard = c.At
+		m.Heard, m.Strays = c.At, c.Strays
 		for _, a := range c.Asks {
 			p := r.part(a.Part)
 			if p == nil {
@@ -226,8 +232,10 @@
 			}
 			from, epoch := p.Lease.Holder, p.Lease.Epoch
 			answer := p.Lease.Apply(r.terms(), lease.Ask{From: lease.Holder{Member: number, Life: c.Life}, Number: a.Number}, c.At)
-			if answer.Granted && a.Load >= 0 {
-				p.Load = a.Load
+			if answer.Granted {
+				if p.Empty = a.Load < 0; !p.Empty {
+					p.Load = a.Load
+				}
 			}
 			if answer.Epoch > epoch {
 				r.granted(c, p, from)
