--- a/group/group_test.go
+++ b/group/group_test.go
@@ -341,6 +341,41 @@
 // underRace is set by the race detector's build, whose checks of pointers end the process where bbolt reads a damaged page.
 var underRace bool
 
+// The log is cut to a snapshot: a member that restarts begins with it, and one that was away beyond what the log still has, or has never
+// been here, is sent it.
+func TestSnapshots(t *testing.T) {
+	p := newParish(t, 3)
+	p.awaitHeld(2, 2, 2)
+	p.stop(2)
+	p.awaitHeld(3, 3, 0)
+	for n := range 2 * trailing { // more than the log keeps behind a snapshot
+		if _, err := Ask(p.lines[0].Listen, 5*time.Second, "LEAVE", "m0", []string{"off", "on"}[n%2]); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := Ask(p.lines[0].Listen, 5*time.Second, "LEAVE", "m0", "off"); err != nil {
+		t.Fatal(err)
+	}
+	for k := range 2 {
+		if err := p.up[k].engine.raft.Snapshot().Error(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	p.start(2)
+	p.awaitHeld(2, 2, 2)
+	if from := p.up[2].engine.raft.Stats()["last_snapshot_index"]; from == "0" {
+		t.Error("the one that was away was sent no snapshot")
+	}
+	for k := range 3 {
+		p.stop(k)
+		p.start(k)
+		p.awaitHeld(2, 2, 2)
+	}
+	if n := len(p.up[0].Status().Events); n < 8 {
+		t.Errorf("%d takeovers are remembered", n)
+	}
+}
+
 // The log of a member is cut short: it is refused with the way back, and nothing in it is changed.
 func TestACutLog(t *testing.T) {
 	if underRace {
