Two processes of one name are two lives to their group, also with a new folder each

Cause: found on reading again: the folder's number alone was used, which begins at 1 in each new folder, so twins would have been one holder. Change: chance beside it.

--- a/daemon/share.go
+++ b/daemon/share.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"math/rand/v2"
 	"path/filepath"
 	"sync"
 	"sync/atomic"
@@ -39,11 +40,15 @@
 		Assign: assign.Terms{Settle: of.Settle, Pace: of.Pace}, Zones: g.Zones, PartsEach: of.Parts}}
 }
 
+// holderLife is the life that a group knows a process by: the folder's, which grows with each start, and chance, as two processes that
+// were given one name and a folder each begin with the same number there.
+func holderLife(life uint64) uint64 { return life<<20 | rand.Uint64N(1<<20) }
+
 func (s *sharing) open(g *site.Governor, life uint64, server *channel.Server, now func() fleet.Micros, links group.Links, log zerolog.Logger) (err error) {
 	s.server = server
 	of := g.Group
 	line := group.Line{Name: g.Name, Zone: of.Zone, Channel: server.Addr(), Listen: of.Listen, Gossip: of.Gossip, Folder: filepath.Join(g.State, "group"),
-		Life: life, Join: of.Join, Limit: of.Limit, Loads: server.Loads, Strays: func() map[int]int { return server.Strays(of.Span / 2) }, Hands: group.Hands{Give: s.give, Take: s.take}, Now: now, Links: links, Log: log, Terms: s.terms}
+		Life: holderLife(life), Join: of.Join, Limit: of.Limit, Loads: server.Loads, Strays: func() map[int]int { return server.Strays(of.Span / 2) }, Hands: group.Hands{Give: s.give, Take: s.take}, Now: now, Links: links, Log: log, Terms: s.terms}
 	for _, m := range of.Members {
 		line.Peers = append(line.Peers, group.Peer{Name: m.Name, Address: m.Address, Gossip: m.Gossip})
 	}
--- a/daemon/share_test.go
+++ b/daemon/share_test.go
@@ -279,6 +279,23 @@
 	}
 }
 
+// Two processes of one name, each with a new folder, are two lives to the group; a later start of either is a later one.
+func TestLivesDiffer(t *testing.T) {
+	same := 0
+	for range 100 {
+		a, b := holderLife(1), holderLife(1)
+		if a == b {
+			same++
+		}
+		if later := holderLife(2); later <= a || later <= b {
+			t.Fatalf("%d after %d and %d", later, a, b)
+		}
+	}
+	if same > 1 { // of a million numbers
+		t.Errorf("%d of 100 pairs are one life", same)
+	}
+}
+
 // quietRoster and quietChannel are a host's neighbours of whom nothing comes.
 type quietRoster struct{}
 
