Read again: one wait in measure, one way to ask a member, a row's flag in place of its text

The measurements waited in three loops of their own, members were asked through four copies of one dial, and assign knew the row that moves nothing by its words.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -96,6 +96,7 @@
 	paced  bool
 	near   bool // only to the part's own zone
 	asked  bool // only to the member that its forwarders ask
+	stays  bool // to nobody
 	evener bool // only if the two are evener after
 }
 
@@ -105,7 +106,7 @@
 	{why: "its forwarders do not reach its member", asked: true, fits: func(_ *deal, p *Part, at *seat) bool { return p.Asked != "" && p.Asked != at.Name }},
 	{why: "its member is ending", fits: func(_ *deal, _ *Part, at *seat) bool { return at.Ending }},
 	{why: "its member is leaving", paced: true, fits: func(_ *deal, _ *Part, at *seat) bool { return at.Leaving }},
-	{why: "moved by hand", fits: func(_ *deal, p *Part, _ *seat) bool { return p.ByHand }},
+	{why: "moved by hand", stays: true, fits: func(_ *deal, p *Part, _ *seat) bool { return p.ByHand }},
 	{why: "its member is beyond its limit", paced: true, fits: func(_ *deal, _ *Part, at *seat) bool { return at.Limit > 0 && at.load > at.Limit }},
 	{why: "back to its zone", paced: true, steady: true, near: true, fits: func(_ *deal, p *Part, at *seat) bool { return at.Zone != p.Zone }},
 	{why: "evener", paced: true, steady: true, evener: true, fits: func(*deal, *Part, *seat) bool { return true }},
@@ -171,7 +172,7 @@
 // target is the best member for a part by a row: of its zone, then the one with the least load; nil for none.
 func (d *deal) target(r *row, p *Part) (best *seat) {
 	at := d.by[p.Wanted]
-	if r.why == "moved by hand" || r.paced && !d.due(at) {
+	if r.stays || r.paced && !d.due(at) {
 		return nil
 	}
 	for _, s := range d.seats {
--- a/command/command.go
+++ b/command/command.go
@@ -326,11 +326,11 @@
 }
 
 // Run is the command.
-func (c *MeasureQuiet) Run(out io.Writer) error {
+func (c *MeasureQuiet) Run(ctx context.Context, out io.Writer) error {
 	if c.Members < 1 || c.Members > 9 || c.Parts < 1 || c.Parts > 256 || c.Span < 300*time.Millisecond || c.While < time.Second || c.While > time.Hour {
 		return fmt.Errorf("%w: 1 to 9 members, 1 to 256 parts, a lease of 300ms at least and 1s to 1h are wanted", ErrInput)
 	}
-	f, err := measure.Quiet(c.Members, c.Parts, c.Span, c.While)
+	f, err := measure.Quiet(ctx, c.Members, c.Parts, c.Span, c.While)
 	if err != nil {
 		return err
 	}
--- a/group/group.go
+++ b/group/group.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	stdlog "log"
-	"net"
 	"os"
 	"slices"
 	"sync"
@@ -255,8 +254,8 @@
 // carry brings proposals to the leader, one after the other. One that fails is not repeated here: who made it makes it again.
 func (g *Group) carry() {
 	defer g.wait.Done()
-	var to client
-	defer to.close()
+	to := &client{}
+	defer func() { to.close() }()
 	at := ""
 	within := g.line.Terms.Lease.Span.Duration() / 4
 	for {
@@ -282,7 +281,7 @@
 			if address != at {
 				to.close()
 				at = address
-				to.dial = func(within time.Duration) (net.Conn, error) { return g.line.dial(name, address, forRequests, within) }
+				to = g.line.client(name, address)
 			}
 			if b, err := cbor.Marshal(c); err == nil {
 				_, err = to.ask(within, "PROPOSE", string(b))
@@ -306,9 +305,7 @@
 		if p.Name == g.line.Name {
 			continue
 		}
-		c := &client{dial: func(within time.Duration) (net.Conn, error) {
-			return g.line.dial(p.Name, p.Address, forRequests, within)
-		}}
+		c := g.line.client(p.Name, p.Address)
 		_, err := c.ask(within, "ADD", g.line.Name, g.line.address(g.line.Name, g.line.Listen))
 		c.close()
 		if err == nil {
--- a/group/hand.go
+++ b/group/hand.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -57,9 +56,7 @@
 		if err != nil {
 			continue
 		}
-		c := &client{dial: func(within time.Duration) (net.Conn, error) {
-			return g.line.dial(name, requests[name], forRequests, within)
-		}}
+		c := g.line.client(name, requests[name])
 		if _, err := c.ask(within, "HAND", string(b)); err != nil {
 			g.line.Log.Debug().Err(err).Str("to", name).Msg("what is known of the parts could not be handed over")
 		}
--- a/group/wire.go
+++ b/group/wire.go
@@ -191,6 +191,11 @@
 	reader *resp.Reader
 }
 
+// client asks a member's port.
+func (l *Line) client(name, address string) *client {
+	return &client{dial: func(within time.Duration) (net.Conn, error) { return l.dial(name, address, forRequests, within) }}
+}
+
 // ask sends a request and waits for its answer. An error of the other side is one here.
 func (c *client) ask(within time.Duration, words ...string) (string, error) {
 	if c.conn == nil {
@@ -246,9 +251,7 @@
 // Ask sends one request to a member's group port, as operators do: STATUS; MOVE part member; LEAVE member on|off; STRIKE member; ADD
 // member address. Any member takes it and hands it to the leader if need be.
 func Ask(address string, within time.Duration, words ...string) (string, error) {
-	c := &client{dial: func(within time.Duration) (net.Conn, error) {
-		return (&Line{}).dial("", address, forRequests, within)
-	}}
+	c := (&Line{}).client("", address)
 	defer c.close()
 	text, err := c.ask(within, words...)
 	if err != nil {
@@ -353,7 +356,7 @@
 	if address == "" {
 		return nil, errors.New("nobody leads the group: a majority of its members is not there, or they are choosing; try again in some seconds")
 	}
-	c := &client{dial: func(within time.Duration) (net.Conn, error) { return g.line.dial(name, address, forRequests, within) }}
+	c := g.line.client(name, address)
 	defer c.close()
 	text, err := c.ask(5*time.Second, append([]string{handed}, words...)...)
 	return []byte(text), err
