--- a/channel/board.go
+++ b/board/board.go
@@ -1,4 +1,7 @@
-package channel
+// Package board is what a governor has ordered and what each joined forwarder was sent of it: orders go in, one message for each
+// forwarder concerned comes out. It is free of I/O; package channel puts the messages on RESP3, package platform on the operators'
+// protocol. One goroutine at a time may use a Board.
+package board
 
 import (
 	"slices"
@@ -41,30 +44,31 @@
 // Empty tells a batch that reaches nobody.
 func (b *Batch) Empty() bool { return len(b.Orders) == 0 && !b.All }
 
-// board is what the governor has ordered and what each joined forwarder was sent of it. It is free of I/O.
-type board struct {
-	life, version uint64
+// Board is the published state of one governor. Make it with New; what it exports is to be read only.
+type Board struct {
+	Life, Version uint64
 	overhead      int
-	tables        map[fleet.TableID]*table
+	Tables        map[fleet.TableID]*Table
 	out           map[fleet.ReplicaID]bool
-	outs          []fleet.ReplicaID // the same in the order withdrawn
-	levels        []tablewire.Level
-	holders       []*holder // in the order joined
-	byProxy       map[fleet.ProxyID]*holder
+	Outs          []fleet.ReplicaID // withdrawn, in that order
+	Levels        []tablewire.Level
+	Holders       []*Holder // in the order joined
+	ByProxy       map[fleet.ProxyID]*Holder
 }
 
-type table struct {
-	id    fleet.TableID
-	lines []tablewire.Line
+// Table is a shared table as it stands.
+type Table struct {
+	ID    fleet.TableID
+	Lines []tablewire.Line
 	at    map[fleet.ReplicaID]int
-	users []*holder
+	users []*Holder
 }
 
-// holder is a joined forwarder.
-type holder struct {
-	proxy   fleet.ProxyID
-	name    string
-	table   *table                   // nil: on tables of its own
+// Holder is a joined forwarder.
+type Holder struct {
+	Proxy   fleet.ProxyID
+	Name    string
+	Table   *Table                   // nil: on tables of its own
 	version uint64                   // of the newest message made for it
 	receipt int                      // the newest number asked of it
 	shut    map[fleet.ReplicaID]bool // told out, and not back since
@@ -79,69 +83,72 @@
 	levels bool
 }
 
-// outgoing is a message made.
-type outgoing struct {
-	to *holder
-	m  *tablewire.Message
+// Outgoing is a message made.
+type Outgoing struct {
+	To      *Holder
+	Message *tablewire.Message
 }
 
-func newBoard(life uint64, overhead int) *board {
-	return &board{life: life, overhead: overhead, tables: map[fleet.TableID]*table{},
-		out: map[fleet.ReplicaID]bool{}, byProxy: map[fleet.ProxyID]*holder{}}
+// New makes a board for one life of a governor; overhead is the lines that a message costs beyond its own.
+func New(life uint64, overhead int) *Board {
+	return &Board{Life: life, overhead: overhead, Tables: map[fleet.TableID]*Table{},
+		out: map[fleet.ReplicaID]bool{}, ByProxy: map[fleet.ProxyID]*Holder{}}
 }
 
-func (b *board) join(p fleet.ProxyID, name string) *holder {
-	b.leave(p)
-	h := &holder{proxy: p, name: name, version: b.version, receipt: -1, shut: map[fleet.ReplicaID]bool{}}
-	b.byProxy[p], b.holders = h, append(b.holders, h)
+// Join takes a forwarder in, on tables of its own; one that is here is replaced.
+func (b *Board) Join(p fleet.ProxyID, name string) *Holder {
+	b.Leave(p)
+	h := &Holder{Proxy: p, Name: name, version: b.Version, receipt: -1, shut: map[fleet.ReplicaID]bool{}}
+	b.ByProxy[p], b.Holders = h, append(b.Holders, h)
 	return h
 }
 
-func (b *board) leave(p fleet.ProxyID) {
-	h := b.byProxy[p]
+// Leave drops a forwarder.
+func (b *Board) Leave(p fleet.ProxyID) {
+	h := b.ByProxy[p]
 	if h == nil {
 		return
 	}
-	delete(b.byProxy, p)
-	b.holders = slices.DeleteFunc(b.holders, func(x *holder) bool { return x == h })
+	delete(b.ByProxy, p)
+	b.Holders = slices.DeleteFunc(b.Holders, func(x *Holder) bool { return x == h })
 	b.unbind(h)
 }
 
-func (b *board) unbind(h *holder) {
-	if h.table != nil {
-		h.table.users = slices.DeleteFunc(h.table.users, func(x *holder) bool { return x == h })
-		h.table = nil
+func (b *Board) unbind(h *Holder) {
+	if h.Table != nil {
+		h.Table.users = slices.DeleteFunc(h.Table.users, func(x *Holder) bool { return x == h })
+		h.Table = nil
 	}
 }
 
-func (b *board) table(id fleet.TableID) *table {
-	t := b.tables[id]
+func (b *Board) table(id fleet.TableID) *Table {
+	t := b.Tables[id]
 	if t == nil {
-		t = &table{id: id, at: map[fleet.ReplicaID]int{}}
-		b.tables[id] = t
+		t = &Table{ID: id, at: map[fleet.ReplicaID]int{}}
+		b.Tables[id] = t
 	}
 	return t
 }
 
 // set changes a line, or takes it out.
-func (t *table) set(r fleet.ReplicaID, weight float64) {
+func (t *Table) set(r fleet.ReplicaID, weight float64) {
 	i, there := t.at[r]
 	switch {
 	case there && weight > 0:
-		t.lines[i].Weight = weight
+		t.Lines[i].Weight = weight
 	case there:
-		t.lines = slices.Delete(t.lines, i, i+1)
+		t.Lines = slices.Delete(t.Lines, i, i+1)
 		delete(t.at, r)
-		for k := i; k < len(t.lines); k++ {
-			t.at[t.lines[k].Replica] = k
+		for k := i; k < len(t.Lines); k++ {
+			t.at[t.Lines[k].Replica] = k
 		}
 	case weight > 0:
-		t.at[r] = len(t.lines)
-		t.lines = append(t.lines, tablewire.Line{Replica: r, Weight: weight})
+		t.at[r] = len(t.Lines)
+		t.Lines = append(t.Lines, tablewire.Line{Replica: r, Weight: weight})
 	}
 }
 
-func (h *holder) drafted() *draft {
+func (h *Holder) drafted() *draft {
 	if h.draft == nil {
 		h.draft = &draft{}
 	}
@@ -149,24 +156,24 @@
 }
 
 // holds tells whether a withdrawal of r concerns a holder: it has the line, or tables that nobody here knows.
-func (h *holder) holds(r fleet.ReplicaID) bool {
-	if h.table == nil {
+func (h *Holder) holds(r fleet.ReplicaID) bool {
+	if h.Table == nil {
 		return true
 	}
-	_, there := h.table.at[r]
+	_, there := h.Table.at[r]
 	return there
 }
 
-// apply carries a batch out on the board and makes one message for each forwarder concerned.
-func (b *board) apply(batch *Batch) (made []outgoing) {
+// Apply carries a batch out on the board and makes one message for each forwarder concerned.
+func (b *Board) Apply(batch *Batch) (made []Outgoing) {
 	if batch.Empty() {
 		return nil
 	}
-	b.version++
+	b.Version++
 	for _, o := range batch.Orders {
 		b.carryOut(o)
 	}
-	for _, h := range b.holders {
+	for _, h := range b.Holders {
 		if h.draft == nil && !batch.All {
 			continue
 		}
@@ -178,12 +185,12 @@
 			h.receipt = m.Receipt
 			m.Cost++
 		}
-		made = append(made, outgoing{h, m})
+		made = append(made, Outgoing{h, m})
 	}
 	return made
 }
 
-func (b *board) carryOut(o Order) {
+func (b *Board) carryOut(o Order) {
 	switch o.What {
 	case Assign:
 		t := b.table(o.Table)
@@ -198,56 +205,56 @@
 			}
 		}
 	case Bind:
-		if h := b.byProxy[o.Proxy]; h != nil {
+		if h := b.ByProxy[o.Proxy]; h != nil {
 			b.unbind(h)
-			h.table = b.table(o.Table)
-			h.table.users = append(h.table.users, h)
+			h.Table = b.table(o.Table)
+			h.Table.users = append(h.Table.users, h)
 			h.drafted().bind = true
 		}
 	case Withdraw:
 		if o.Out != b.out[o.Replica] {
 			if delete(b.out, o.Replica); o.Out {
-				b.out[o.Replica], b.outs = true, append(b.outs, o.Replica)
+				b.out[o.Replica], b.Outs = true, append(b.Outs, o.Replica)
 			} else {
-				b.outs = slices.DeleteFunc(b.outs, func(r fleet.ReplicaID) bool { return r == o.Replica })
+				b.Outs = slices.DeleteFunc(b.Outs, func(r fleet.ReplicaID) bool { return r == o.Replica })
 			}
 		}
-		for _, h := range b.holders {
+		for _, h := range b.Holders {
 			if h.holds(o.Replica) {
 				d := h.drafted()
 				d.shuts = append(d.shuts, o.Replica)
 			}
 		}
 	case SetLevel:
-		i := slices.IndexFunc(b.levels, func(l tablewire.Level) bool { return l.Operations == o.Level.Operations })
+		i := slices.IndexFunc(b.Levels, func(l tablewire.Level) bool { return l.Operations == o.Level.Operations })
 		if i >= 0 {
-			b.levels[i] = o.Level
+			b.Levels[i] = o.Level
 		} else {
-			b.levels = append(b.levels, o.Level)
+			b.Levels = append(b.Levels, o.Level)
 		}
-		for _, h := range b.holders {
+		for _, h := range b.Holders {
 			h.drafted().levels = true
 		}
 	}
 }
 
 // message makes what a draft asks for, from the board as it now stands.
-func (b *board) message(h *holder, d *draft) *tablewire.Message {
+func (b *Board) message(h *Holder, d *draft) *tablewire.Message {
 	if d.bind {
-		m := b.snapshot(h)
-		m.Prev, h.version, m.Version = h.version, b.version, b.version
+		m := b.Snapshot(h)
+		m.Prev, h.version, m.Version = h.version, b.Version, b.Version
 		return m
 	}
-	m := &tablewire.Message{Life: b.life, Prev: h.version, Version: b.version}
-	h.version = b.version
+	m := &tablewire.Message{Life: b.Life, Prev: h.version, Version: b.Version}
+	h.version = b.Version
 	if d.levels {
-		m.Levels = slices.Clone(b.levels)
+		m.Levels = slices.Clone(b.Levels)
 	}
 	seen := map[fleet.ReplicaID]bool{}
 	for _, r := range d.lines {
 		if !seen[r] {
 			seen[r] = true
-			m.Lines = append(m.Lines, tablewire.Line{Replica: r, Weight: h.table.weight(r)})
+			m.Lines = append(m.Lines, tablewire.Line{Replica: r, Weight: h.Table.weight(r)})
 		}
 	}
 	clear(seen)
@@ -264,20 +271,20 @@
 	return m
 }
 
-func (t *table) weight(r fleet.ReplicaID) float64 {
+func (t *Table) weight(r fleet.ReplicaID) float64 {
 	if i, there := t.at[r]; there {
-		return t.lines[i].Weight
+		return t.Lines[i].Weight
 	}
 	return 0
 }
 
-// snapshot is all that a holder should hold by now; it covers every message made for it before.
-func (b *board) snapshot(h *holder) *tablewire.Message {
-	m := &tablewire.Message{Whole: true, Life: b.life, Prev: h.version, Version: h.version, Receipt: h.receipt,
-		Levels: slices.Clone(b.levels)}
+// Snapshot is all that a holder should hold by now; it covers every message made for it before.
+func (b *Board) Snapshot(h *Holder) *tablewire.Message {
+	m := &tablewire.Message{Whole: true, Life: b.Life, Prev: h.version, Version: h.version, Receipt: h.receipt,
+		Levels: slices.Clone(b.Levels)}
 	// Bound, it forgets every withdrawal but these; else it keeps those of others, and is told the end of ours.
 	for r := range h.shut {
-		if h.table == nil && !b.out[r] {
+		if h.Table == nil && !b.out[r] {
 			m.Shuts = append(m.Shuts, tablewire.Shut{Replica: r})
 		}
 	}
@@ -285,14 +292,14 @@
 		return strings.Compare(tablewire.Address(x.Replica), tablewire.Address(y.Replica))
 	})
 	clear(h.shut)
-	for _, r := range b.outs {
+	for _, r := range b.Outs {
 		if h.holds(r) {
 			m.Shuts = append(m.Shuts, tablewire.Shut{Replica: r, Out: true})
 			h.shut[r] = true
 		}
 	}
-	if h.table != nil {
-		m.Bound, m.Table, m.Lines = true, h.table.id, slices.Clone(h.table.lines)
+	if h.Table != nil {
+		m.Bound, m.Table, m.Lines = true, h.Table.ID, slices.Clone(h.Table.Lines)
 	}
 	m.Cost = b.overhead + 1 + len(m.Lines) + len(m.Shuts) + len(m.Levels)
 	return m
--- a/channel/pacer.go
+++ b/channel/pacer.go
@@ -1,6 +1,9 @@
 package channel
 
-import "peppervale/fleet"
+import (
+	"peppervale/board"
+	"peppervale/fleet"
+)
 
 // pacer is the queue: messages leave one after the other, each taking its lines' time. It is free of I/O.
 type pacer struct {
@@ -12,18 +15,18 @@
 }
 
 type waiting struct {
-	out    outgoing
+	out    board.Outgoing
 	stream uint64
 	leaves fleet.Micros
 	dead   bool // its stream ended first
 }
 
 // put adds a message and says when it leaves.
-func (p *pacer) put(now fleet.Micros, out outgoing, stream uint64) {
-	span := fleet.Micros(float64(out.m.Cost) / p.perSecond * float64(fleet.Second))
+func (p *pacer) put(now fleet.Micros, out board.Outgoing, stream uint64) {
+	span := fleet.Micros(float64(out.Message.Cost) / p.perSecond * float64(fleet.Second))
 	p.free = max(p.free, now) + span
 	p.queue = append(p.queue, &waiting{out: out, stream: stream, leaves: p.free})
-	p.lines += out.m.Cost
+	p.lines += out.Message.Cost
 	p.most = max(p.most, p.lines)
 }
 
@@ -32,7 +35,7 @@
 	for len(p.queue) > 0 && p.queue[0].leaves <= now {
 		w := p.queue[0]
 		if p.queue = p.queue[1:]; !w.dead {
-			p.lines -= w.out.m.Cost
+			p.lines -= w.out.Message.Cost
 			return w
 		}
 	}
@@ -52,7 +55,7 @@
 	for _, w := range p.queue {
 		if w.stream == stream && !w.dead {
 			w.dead = true
-			p.lines -= w.out.m.Cost
+			p.lines -= w.out.Message.Cost
 		}
 	}
 }
--- a/channel/peer.go
+++ b/channel/peer.go
@@ -218,8 +218,8 @@
 	s.streams[number] = p
 	_ = p.conn.SetReadDeadline(time.Time{})
 	b := resp.AppendHead(nil, resp.Map, 4)
-	b = resp.AppendInt(resp.AppendBulk(b, "life"), int64(s.board.life))
-	b = resp.AppendInt(resp.AppendBulk(b, "version"), int64(s.board.version))
+	b = resp.AppendInt(resp.AppendBulk(b, "life"), int64(s.board.Life))
+	b = resp.AppendInt(resp.AppendBulk(b, "version"), int64(s.board.Version))
 	b = resp.AppendInt(resp.AppendBulk(b, "period"), int64(s.line.Period))
 	b = resp.AppendInt(resp.AppendBulk(b, "epoch"), int64(epoch))
 	s.write(p, b)
--- a/channel/server.go
+++ b/channel/server.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"peppervale/admission"
+	"peppervale/board"
 	"peppervale/fleet"
 	"peppervale/resp"
 	"peppervale/sockets"
@@ -122,7 +123,7 @@
 
 	mu        sync.Mutex
 	gate      *admission.Gate
-	board     *board
+	board     *board.Board
 	pacer     pacer
 	peers     map[*nbio.Conn]*peer
 	streams   map[fleet.ProxyID]*peer // joined, or waiting for Admit
@@ -141,7 +142,7 @@
 func Listen(line Line, events Events) (*Server, error) {
 	line.Limits = line.Limits.filled()
 	s := &Server{line: line, events: events, wake: make(chan struct{}, 1), done: make(chan struct{}),
-		gate: admission.New(line.Joins, line.Now()), board: newBoard(line.Life, line.Overhead), pacer: pacer{perSecond: line.Pace},
+		gate: admission.New(line.Joins, line.Now()), board: board.New(line.Life, line.Overhead), pacer: pacer{perSecond: line.Pace},
 		peers: map[*nbio.Conn]*peer{}, streams: map[fleet.ProxyID]*peer{}, numbers: map[string]fleet.ProxyID{},
 		folded: map[*peer]bool{}, strays: map[string]*stray{}}
 	var err error
@@ -196,13 +197,13 @@
 	s.mu.Unlock()
 	for k := range parts {
 		s.mu.Lock()
-		for _, h := range s.board.holders {
-			if p := s.streams[h.proxy]; p != nil && int(p.stream%parts) == k {
+		for _, h := range s.board.Holders {
+			if p := s.streams[h.Proxy]; p != nil && int(p.stream%parts) == k {
 				b := resp.AppendHead(nil, resp.Push, 2)
 				s.write(p, resp.AppendInt(resp.AppendBulk(b, "elsewhere"), s.back()))
 			}
 		}
-		left := len(s.board.holders)
+		left := len(s.board.Holders)
 		s.mu.Unlock()
 		if left == 0 {
 			return
@@ -238,17 +239,17 @@
 	if p == nil || p.stream != stream {
 		return
 	}
-	p.holder = s.board.join(proxy, p.join.Name)
+	p.holder = s.board.Join(proxy, p.join.Name)
 	s.sendSnapshot(p)
 }
 
 // Publish carries orders out: one message for each forwarder concerned, queued at the channel's pace.
-func (s *Server) Publish(batch *Batch) {
+func (s *Server) Publish(batch *board.Batch) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	made := s.board.apply(batch)
+	made := s.board.Apply(batch)
 	for _, out := range made {
-		if p := s.streams[out.to.proxy]; p != nil && p.holder == out.to {
+		if p := s.streams[out.To.Proxy]; p != nil && p.holder == out.To {
 			s.pacer.put(batch.At, out, p.stream)
 		}
 	}
@@ -266,10 +267,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	st := s.stats
-	st.Forwarders, st.Observers, st.Connections = len(s.board.holders), s.observers, len(s.peers)
+	st.Forwarders, st.Observers, st.Connections = len(s.board.Holders), s.observers, len(s.peers)
 	st.Deferred, st.Shed, st.Storms = s.gate.Stats.Deferred, s.gate.Stats.Shed, s.gate.Stats.Storms
 	st.Unsent = s.unsent.Load()
-	st.Version, st.Queue, st.QueueMost = s.board.version, s.pacer.lines, s.pacer.most
+	st.Version, st.Queue, st.QueueMost = s.board.Version, s.pacer.lines, s.pacer.most
 	return st
 }
 
@@ -282,8 +283,8 @@
 		s.mu.Lock()
 		now := s.line.Now()
 		for w := s.pacer.take(now); w != nil; w = s.pacer.take(now) {
-			if p := s.streams[w.out.to.proxy]; p != nil && p.stream == w.stream {
-				s.send(p, w.out.m)
+			if p := s.streams[w.out.To.Proxy]; p != nil && p.stream == w.stream {
+				s.send(p, w.out.Message)
 			}
 		}
 		for p := range s.folded {
@@ -420,7 +421,7 @@
 }
 
 func (s *Server) sendSnapshot(p *peer) {
-	m := s.board.snapshot(p.holder)
+	m := s.board.Snapshot(p.holder)
 	m.Ordered = s.line.Now()
 	s.send(p, m)
 }
@@ -468,27 +469,27 @@
 
 func (s *Server) picture() Picture {
 	b := s.board
-	pic := Picture{Kind: "snapshot", Life: b.life, Version: b.version, Tables: map[string][]LineOut{},
+	pic := Picture{Kind: "snapshot", Life: b.Life, Version: b.Version, Tables: map[string][]LineOut{},
 		Forwarders: map[string]string{}, Withdrawn: []string{}, Levels: []LevelOut{}}
-	for id, t := range b.tables {
-		lines := make([]LineOut, 0, len(t.lines))
-		for _, l := range t.lines {
+	for id, t := range b.Tables {
+		lines := make([]LineOut, 0, len(t.Lines))
+		for _, l := range t.Lines {
 			lines = append(lines, LineOut{tablewire.Address(l.Replica), l.Weight})
 		}
 		pic.Tables[fmt.Sprint(id)] = lines
 	}
-	for _, r := range b.outs {
+	for _, r := range b.Outs {
 		pic.Withdrawn = append(pic.Withdrawn, tablewire.Address(r))
 	}
-	for _, l := range b.levels {
+	for _, l := range b.Levels {
 		pic.Levels = append(pic.Levels, LevelOut{l.Operations, l.Share, uint8(l.Way)})
 	}
-	for _, h := range b.holders {
+	for _, h := range b.Holders {
 		at := ""
-		if h.table != nil {
-			at = fmt.Sprint(h.table.id)
+		if h.Table != nil {
+			at = fmt.Sprint(h.Table.ID)
 		}
-		pic.Forwarders[h.name] = at
+		pic.Forwarders[h.Name] = at
 	}
 	return pic
 }
@@ -511,23 +512,23 @@
 	Level     *LevelOut `json:"level,omitempty"`
 }
 
-func (s *Server) step(batch *Batch) Step {
-	st := Step{Kind: "change", Life: s.board.life, Version: s.board.version, Orders: []StepOne{}}
+func (s *Server) step(batch *board.Batch) Step {
+	st := Step{Kind: "change", Life: s.board.Life, Version: s.board.Version, Orders: []StepOne{}}
 	for _, o := range batch.Orders {
 		var one StepOne
 		switch o.What {
-		case Assign:
+		case board.Assign:
 			one = StepOne{Do: "assign", Table: fmt.Sprint(o.Table), Replica: tablewire.Address(o.Replica), Weight: o.Weight}
-		case Bind:
+		case board.Bind:
 			one = StepOne{Do: "bind", Table: fmt.Sprint(o.Table)}
-			if h := s.board.byProxy[o.Proxy]; h != nil {
-				one.Forwarder = h.name
+			if h := s.board.ByProxy[o.Proxy]; h != nil {
+				one.Forwarder = h.Name
 			}
-		case Withdraw:
+		case board.Withdraw:
 			if one = (StepOne{Do: "restore", Replica: tablewire.Address(o.Replica)}); o.Out {
 				one.Do = "withdraw"
 			}
-		case SetLevel:
+		case board.SetLevel:
 			one = StepOne{Do: "level", Level: &LevelOut{o.Level.Operations, o.Level.Share, uint8(o.Level.Way)}}
 		}
 		st.Orders = append(st.Orders, one)
@@ -535,7 +536,7 @@
 	return st
 }
 
-func (s *Server) tellObservers(batch *Batch) {
+func (s *Server) tellObservers(batch *board.Batch) {
 	text, err := json.Marshal(s.step(batch))
 	if err != nil {
 		return // weights are finite: the module's tests hold that
@@ -647,7 +648,7 @@
 func (s *Server) end(p *peer) {
 	delete(s.streams, p.proxy)
 	if p.holder != nil {
-		s.board.leave(p.proxy)
+		s.board.Leave(p.proxy)
 	}
 	s.pacer.drop(p.stream)
 }
@@ -666,9 +667,9 @@
 	zone     int
 	part     int
 	proxy    fleet.ProxyID
-	stream   uint64  // 0: not joined
-	holder   *holder // nil until admitted
-	sums     uint64  // number of the newest report
+	stream   uint64        // 0: not joined
+	holder   *board.Holder // nil until admitted
+	sums     uint64        // number of the newest report
 	meter    admission.Meter
 	resyncAt fleet.Micros
 }
--- a/command/command.go
+++ b/command/command.go
@@ -36,6 +36,7 @@
 // Line is the whole command line.
 type Line struct {
 	Governor Governor `cmd:"" help:"Run a governor until a signal ends it."`
+	Platform Platform `cmd:"" help:"Run a governor on the operators' platform, by its file (LB_CONFIG)."`
 	Check    Check    `cmd:"" help:"Read a governor's or a day's file, tell each fault with its place, start nothing."`
 	Group    Group    `cmd:"" help:"Show and steer governors that share the fleet out."`
 	Console  Console  `cmd:"" help:"Show several governors side by side, from their own consoles."`
--- /dev/null
+++ b/daemon/platform.go
@@ -0,0 +1,111 @@
+package daemon
+
+import (
+	"context"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"peppervale/governor"
+	"peppervale/platform"
+	"peppervale/platformwire"
+	"peppervale/roster"
+	"peppervale/site"
+)
+
+// What a governor on the platform keeps for itself of its descriptors: standard streams, pollers, the listening socket, the watch of
+// discovery and its successor, and one more for each connection while it is taken in.
+const ownDescriptors = 40
+
+// greeting is how long a connection may take to join. The platform lets it be closed after 1 s and asks for that within 3 s; the
+// half second more is for joins that come in pieces while the core is shared.
+const greeting = 1500 * time.Millisecond
+
+// unsentMost is what may wait for one stream: the platform resets a connection with 128 KiB unread, the kernel's part included.
+const unsentMost = 64 << 10
+
+// PlatformOutside is what a governor on the platform is handed of its process.
+type PlatformOutside struct {
+	Reload <-chan struct{}                // asks that the file is read again
+	Read   func() (*site.Platform, error) // reads it
+}
+
+// ServePlatform runs one governor on the operators' platform until the context ends. It has no state folder, console or group: there
+// is no disk that outlives it, and no room for them in its limits. Errors are those of the address.
+func ServePlatform(ctx context.Context, p *site.Platform, out PlatformOutside, log zerolog.Logger) error {
+	if err := governor.Check(p.Terms); err != nil {
+		return err
+	}
+	// The limit counts the whole process; a third is left for what Go's own limit does not see: stacks of the kernel, the text.
+	debug.SetMemoryLimit(p.Memory / 3 * 2)
+	debug.SetGCPercent(50)
+	runtime.GOMAXPROCS(min(runtime.NumCPU(), 4)) // two pollers, an acceptor, the host: more only adds idle stacks
+	now := governor.Clock()
+	host := governor.New(p.Terms, intakeMost, now, log)
+	host.KeepNoCauses()
+	names := platformwire.NewNames()
+	list, err := roster.NewWatch(roster.Discovery{Address: p.Discovery, Zones: p.Zones, Names: names, Known: p.Known, Log: log}, host)
+	if err != nil {
+		return err
+	}
+	defer list.Close()
+	// Proxies speak each report period; three without a word, and the way of a message, are silence.
+	silence := (3*p.Terms.Period + p.Carries).Duration()
+	server, err := platform.Listen(platform.Line{Listen: p.Listen, Zones: p.Zones, Operations: p.Operations, LoadFields: p.LoadFields,
+		Proxies: p.Terms.Proxies, Overhead: p.Terms.Overhead, Names: names, Now: now, Log: log, Limits: platform.Limits{
+			Connections: p.Sockets - ownDescriptors, Greeting: greeting, Unsent: unsentMost, Silence: silence}}, host)
+	if err != nil {
+		return err
+	}
+	defer server.Close()
+	known := list.Entries()
+	log.Info().Str("governor", p.Name).Str("listen", server.Addr()).Int("known", len(known)).Int64("memory_mb", p.Memory>>20).Int("sockets", p.Sockets).Msg("serving")
+	go host.Run(server, list, known)
+	defer host.Stop()
+	if !p.Terms.Subscribe {
+		list.Follow() // the module does not ask where the platform tells unasked; here nobody tells
+	}
+	tell := time.NewTicker(tellEvery)
+	defer tell.Stop()
+	for {
+		select {
+		case <-tell.C:
+			tellPlatform(log, host, server)
+		case <-out.Reload:
+			fresh, err := out.Read()
+			if err != nil {
+				log.Error().Err(err).Msg("reload: the file cannot be used; going on with what is in force")
+				continue
+			}
+			log.Info().Str("discovery", fresh.Discovery).Msg("reload")
+			list.Move(fresh.Discovery)
+		case <-ctx.Done():
+			log.Info().Msg("ending")
+			tellPlatform(log, host, server)
+			return nil
+		}
+	}
+}
+
+// intakeMost is no bound in service: the platform's collectors keep to their own, and the mailbox holds a sum for each zone and replica.
+const intakeMost = 100_000
+
+// tellEvery is how often the figures go to the log.
+const tellEvery = 5 * time.Second
+
+func tellPlatform(log zerolog.Logger, host *governor.Host, server *platform.Server) {
+	st, v := server.Stats(), host.Watch()
+	if v == nil {
+		return
+	}
+	e := log.Info().Interface("figures", st).Bool("gate_open", v.GateOpen).Int("ready", v.Ready).Uint64("steps", v.Steps).Int64("worst_step_us", int64(v.WorstStep))
+	if v.Look != nil {
+		m := v.Look.Module
+		e = e.Float64("stress", m.Stress).Float64("pace", m.Pace).Int("unacked", m.Unacked).Floats64("shares", m.Shares).Int("waits", len(m.Waits))
+	}
+	var mem runtime.MemStats
+	runtime.ReadMemStats(&mem)
+	e.Uint64("heap_mb", mem.HeapAlloc>>20).Uint64("sys_mb", mem.Sys>>20).Int("goroutines", runtime.NumGoroutine()).Msg("figures")
+}
--- a/day/rogue.go
+++ b/day/rogue.go
@@ -5,6 +5,7 @@
 
 	"github.com/rs/zerolog"
 
+	"peppervale/board"
 	"peppervale/channel"
 	"peppervale/fleet"
 	"peppervale/roster"
@@ -67,7 +68,7 @@
 	r.loop.Post(func() {
 		r.server.Admit(p, stream)
 		r.streams[p] = true
-		r.publish(channel.Order{What: channel.Bind, Proxy: p, Table: rogueTable})
+		r.publish(board.Order{What: board.Bind, Proxy: p, Table: rogueTable})
 	})
 }
 
@@ -85,7 +86,7 @@
 			return
 		}
 		named := map[fleet.ReplicaID]bool{}
-		var orders []channel.Order
+		var orders []board.Order
 		for _, e := range entries {
 			if named[e.ID] = e.Life == fleet.Ready; e.Life != fleet.Ready {
 				continue
@@ -95,8 +96,8 @@
 				if r.kind == "full-to-cold" && e.Since > r.began {
 					weight = 1000
 				}
-				orders = append(orders, channel.Order{What: channel.Assign, Table: rogueTable, Replica: e.ID, Weight: weight},
-					channel.Order{What: channel.Withdraw, Replica: e.ID})
+				orders = append(orders, board.Order{What: board.Assign, Table: rogueTable, Replica: e.ID, Weight: weight},
+					board.Order{What: board.Withdraw, Replica: e.ID})
 			}
 			r.ready[e.ID] = e
 		}
@@ -104,7 +105,7 @@
 			if !named[id] {
 				delete(r.ready, id)
 				if r.kind != "hides-drains" {
-					orders = append(orders, channel.Order{What: channel.Withdraw, Replica: id, Out: true})
+					orders = append(orders, board.Order{What: board.Withdraw, Replica: id, Out: true})
 				}
 			}
 		}
@@ -112,10 +113,10 @@
 	})
 }
 
-func (r *rogue) publish(orders ...channel.Order) {
+func (r *rogue) publish(orders ...board.Order) {
 	if len(orders) > 0 {
 		r.receipt = (r.receipt + 1) % 65536
-		r.server.Publish(&channel.Batch{Orders: orders, Receipt: r.receipt, At: r.line.Now()})
+		r.server.Publish(&board.Batch{Orders: orders, Receipt: r.receipt, At: r.line.Now()})
 	}
 }
 
@@ -127,18 +128,18 @@
 	}
 	switch r.kind {
 	case "empty-table":
-		var orders []channel.Order
+		var orders []board.Order
 		for id := range r.ready {
-			orders = append(orders, channel.Order{What: channel.Assign, Table: rogueTable, Replica: id})
+			orders = append(orders, board.Order{What: board.Assign, Table: rogueTable, Replica: id})
 		}
 		r.publish(orders...)
 	case "repeats-anything":
-		r.publish(channel.Order{What: channel.SetLevel, Level: tablewire.Level{Operations: 0, Share: 1, Way: fleet.TwoMore}})
+		r.publish(board.Order{What: board.SetLevel, Level: tablewire.Level{Operations: 0, Share: 1, Way: fleet.TwoMore}})
 	case "floods":
 		for range 20 {
-			var orders []channel.Order
+			var orders []board.Order
 			for id := range r.ready {
-				orders = append(orders, channel.Order{What: channel.Assign, Table: rogueTable, Replica: id, Weight: 1})
+				orders = append(orders, board.Order{What: board.Assign, Table: rogueTable, Replica: id, Weight: 1})
 			}
 			r.publish(orders...)
 		}
--- a/governor/causes.go
+++ b/governor/causes.go
@@ -6,7 +6,7 @@
 	"strings"
 	"sync"
 
-	"peppervale/channel"
+	"peppervale/board"
 	"peppervale/fleet"
 	"peppervale/tablewire"
 )
@@ -52,6 +52,7 @@
 	timer          bool
 	inputs         int
 
+	off  bool         // nothing is kept
 	keep func(*Cause) // must not block; nil: nobody keeps them
 
 	mu     sync.Mutex
@@ -64,13 +65,20 @@
 
 // input notes an input of the step that is being taken.
 func (c *causes) input(format string, args ...any) {
+	if c.off {
+		return
+	}
 	if c.inputs++; c.inputs <= inputsMost {
 		c.came = append(c.came, fmt.Sprintf(format, args...))
 	}
 }
 
 // step closes a step. One in which only sums, receipts or the timer came, and nothing followed, is not kept.
-func (c *causes) step(now fleet.Micros, b *channel.Batch) {
+func (c *causes) step(now fleet.Micros, b *board.Batch) {
+	if c.off {
+		c.said = nil
+		return
+	}
 	one := &Cause{At: now, Came: c.came, Said: c.said}
 	if c.inputs > inputsMost {
 		one.Came = append(one.Came, fmt.Sprintf("and %d more", c.inputs-inputsMost))
@@ -108,14 +116,14 @@
 	c.next = (c.next + 1) % causesMost
 }
 
-func describe(o channel.Order) string {
+func describe(o board.Order) string {
 	r := tablewire.Address(o.Replica)
 	switch o.What {
-	case channel.Assign:
+	case board.Assign:
 		return fmt.Sprintf("table %d: %s weighs %.4g", o.Table, r, o.Weight)
-	case channel.Bind:
+	case board.Bind:
 		return fmt.Sprintf("forwarder %d on table %d", o.Proxy, o.Table)
-	case channel.Withdraw:
+	case board.Withdraw:
 		if o.Out {
 			return "withdraw " + r
 		}
--- a/governor/governor.go
+++ b/governor/governor.go
@@ -8,16 +8,16 @@
 
 	"github.com/rs/zerolog"
 
-	"peppervale/channel"
+	"peppervale/board"
 	"peppervale/decide"
 	"peppervale/fleet"
 	"peppervale/tablewire"
 )
 
-// Channel carries orders to forwarders; channel.Server is the real one.
+// Channel carries orders to forwarders; channel.Server and platform.Server are the real ones.
 type Channel interface {
 	Admit(p fleet.ProxyID, stream uint64)
-	Publish(b *channel.Batch)
+	Publish(b *board.Batch)
 }
 
 // Roster follows the machine list; each Follow subscribes anew and is answered by Listed.
@@ -33,7 +33,7 @@
 	module  *decide.Governor
 	channel Channel
 	roster  Roster
-	batch   *channel.Batch
+	batch   *board.Batch
 	wakeAt  fleet.Micros
 	stop    chan struct{}
 	stopped chan struct{}
@@ -116,6 +116,9 @@
 // change it. To be called before Run.
 func (h *Host) KeepCauses(keep func(*Cause)) { h.causes.keep = keep }
 
+// KeepNoCauses has no journal of causes kept: where memory is short, and nobody can look at it. To be called before Run.
+func (h *Host) KeepNoCauses() { h.causes.off = true }
+
 // OldestCause is the number from which on the journal of causes is in memory.
 func (h *Host) OldestCause() uint64 { return h.causes.oldest() }
 
@@ -124,7 +127,7 @@
 	defer close(h.stopped)
 	h.channel, h.roster = ch, roster
 	h.filled = h.now()
-	h.batch = &channel.Batch{Receipt: -1}
+	h.batch = &board.Batch{Receipt: -1}
 	h.module = decide.New(h.terms, h, h.now())
 	if len(cached) > 0 {
 		h.take(h.now(), taken{list: &news{fleet.Cached, cached}})
@@ -244,7 +247,7 @@
 		h.channel.Publish(h.batch)
 	}
 	h.causes.step(now, h.batch)
-	h.batch = &channel.Batch{Receipt: -1}
+	h.batch = &board.Batch{Receipt: -1}
 	h.steps++
 	h.worst = max(h.worst, h.now()-now)
 	v := &View{At: now, GateOpen: h.open, Joined: len(h.known), Ready: h.ready, Listed: len(h.list), ListAt: h.listed, Steps: h.steps, WorstStep: h.worst}
@@ -261,26 +264,26 @@
 
 // The orders of the module: they are gathered and leave after Settle.
 
-func (h *Host) order(o channel.Order) { h.batch.Orders = append(h.batch.Orders, o) }
+func (h *Host) order(o board.Order) { h.batch.Orders = append(h.batch.Orders, o) }
 
 // Assign is an order of the module, see fleet.Host.
 func (h *Host) Assign(t fleet.TableID, r fleet.ReplicaID, weight float64) {
-	h.order(channel.Order{What: channel.Assign, Table: t, Replica: r, Weight: weight})
+	h.order(board.Order{What: board.Assign, Table: t, Replica: r, Weight: weight})
 }
 
 // Bind is an order of the module, see fleet.Host.
 func (h *Host) Bind(p fleet.ProxyID, t fleet.TableID) {
-	h.order(channel.Order{What: channel.Bind, Proxy: p, Table: t})
+	h.order(board.Order{What: board.Bind, Proxy: p, Table: t})
 }
 
 // Withdraw is an order of the module, see fleet.Host.
 func (h *Host) Withdraw(r fleet.ReplicaID, out bool) {
-	h.order(channel.Order{What: channel.Withdraw, Replica: r, Out: out})
+	h.order(board.Order{What: board.Withdraw, Replica: r, Out: out})
 }
 
 // Level is an order of the module, see fleet.Host.
 func (h *Host) Level(operations uint16, share float64, w fleet.Way) {
-	h.order(channel.Order{What: channel.SetLevel, Level: tablewire.Level{Operations: operations, Share: share, Way: w}})
+	h.order(board.Order{What: board.SetLevel, Level: tablewire.Level{Operations: operations, Share: share, Way: w}})
 }
 
 // Receipt is an order of the module, see fleet.Host.
--- a/httpwire/httpwire.go
+++ b/httpwire/httpwire.go
@@ -4,7 +4,7 @@
 // differ, a length beside a chunked body, and bytes that are no HTTP end in one *Fault with the status that a
 // server answers. Nothing here does I/O.
 //
-// Caveats: bodies are handed over whole. Trailers are read and dropped. Upgrades, CONNECT and answers that end
+// Caveats: bodies are handed over whole, but where a Stream is set. Trailers are read and dropped. Upgrades, CONNECT and answers that end
 // with their connection are turned down; header names are given in lower case, repeated ones joined by a comma.
 package httpwire
 
@@ -57,6 +57,9 @@
 	failed  error
 	// NoBody is asked for each answer's status line; true where the request was a HEAD. Nil: never.
 	NoBody func() bool
+	// Stream takes the content of chunked bodies as it comes, of answers that have no end; such a body is not kept, and its length
+	// not bounded. It is handed the message as far as its head, and the parser's own bytes, for the call. Nil: bodies are whole.
+	Stream func(m *Message, part []byte) error
 }
 
 // NewParser reads requests, or answers. A zero bound is 16 KiB of head, 1 MiB of body.
@@ -101,6 +104,11 @@
 
 // content reads a body of known length, or a chunk with its line end.
 func (p *Parser) content(data []byte, take func(*Message) error) ([]byte, error) {
+	if p.stage == inChunk && p.Stream != nil && p.need > 2 { // its line end is read below
+		n := min(p.need-2, len(data))
+		p.need -= n
+		return data[n:], p.Stream(p.now, data[:n])
+	}
 	n := min(p.need, len(data))
 	p.now.Body = append(p.now.Body, data[:n]...)
 	data, p.need = data[n:], p.need-n
--- a/measure/channel.go
+++ b/measure/channel.go
@@ -14,6 +14,7 @@
 	"github.com/lesismal/nbio"
 	"github.com/rs/zerolog"
 
+	"peppervale/board"
 	"peppervale/channel"
 	"peppervale/fleet"
 	"peppervale/governor"
@@ -92,14 +93,14 @@
 	defer loop.Stop()
 	_, kill := listeners(loop, engine, n, p.server.Addr(), fleet.Second, func(rules.Seen) {})
 	defer kill()
-	var orders []channel.Order
+	var orders []board.Order
 	for k := range lines {
-		orders = append(orders, channel.Order{What: channel.Assign, Table: 1, Replica: replicaID(k), Weight: 1})
+		orders = append(orders, board.Order{What: board.Assign, Table: 1, Replica: replicaID(k), Weight: 1})
 	}
 	for range n {
 		select {
 		case proxy := <-p.joined:
-			orders = append(orders, channel.Order{What: channel.Bind, Proxy: proxy, Table: 1})
+			orders = append(orders, board.Order{What: board.Bind, Proxy: proxy, Table: 1})
 		case <-time.After(30 * time.Second):
 			return nil, fmt.Errorf("measure: not all of %d forwarders joined", n)
 		}
@@ -134,9 +135,9 @@
 	return fleet.ReplicaID{Addr: [4]byte{10, 1, byte(k / 200), byte(k%200 + 1)}, Port: 8080}
 }
 
-func (p *publisher) round(orders []channel.Order, number, n int, now func() fleet.Micros) (time.Duration, error) {
+func (p *publisher) round(orders []board.Order, number, n int, now func() fleet.Micros) (time.Duration, error) {
 	began := time.Now()
-	p.server.Publish(&channel.Batch{Orders: orders, Receipt: number, At: now()})
+	p.server.Publish(&board.Batch{Orders: orders, Receipt: number, At: now()})
 	late := time.After(30 * time.Second)
 	for got := 0; got < n; {
 		select {
--- /dev/null
+++ b/platformwire/list.go
@@ -0,0 +1,63 @@
+package platformwire
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"peppervale/fleet"
+)
+
+// Entry is a replica as discovery lists it.
+type Entry struct {
+	Host  string
+	Site  string
+	Life  fleet.Life
+	Since fleet.Micros // when it last started, since 1970; 0: long ago
+}
+
+// List is discovery's answer, or one object of a watch. Skipped counts entries that cannot be read.
+type List struct {
+	Version uint64
+	Whole   bool // all there are; else those that changed
+	Entries []Entry
+	Skipped int
+}
+
+// entriesMost bounds a list, nameMost a name in it.
+const (
+	entriesMost = 10_000
+	nameMost    = 200
+)
+
+var lives = map[string]fleet.Life{"ready": fleet.Ready, "draining": fleet.Draining, "gone": fleet.Gone}
+
+// ParseList reads the JSON of discovery. An entry without a usable name or health is skipped; the list does not fail for it.
+func ParseList(text []byte) (*List, error) {
+	var o struct {
+		Seq   *uint64 `json:"seq"`
+		Whole bool    `json:"whole"`
+		Hosts []struct {
+			Host, Site, Health string
+			Born               float64 `json:"born_ms"`
+		} `json:"hosts"`
+	}
+	if err := json.Unmarshal(text, &o); err != nil {
+		return nil, fmt.Errorf("list: %w", err)
+	}
+	if o.Seq == nil {
+		return nil, fmt.Errorf("list: no seq")
+	}
+	if len(o.Hosts) > entriesMost {
+		return nil, fmt.Errorf("list: %d entries, %d are taken", len(o.Hosts), entriesMost)
+	}
+	l := &List{Version: *o.Seq, Whole: o.Whole}
+	for _, h := range o.Hosts {
+		life, known := lives[h.Health]
+		if !known || h.Host == "" || len(h.Host) > nameMost || len(h.Site) > nameMost || !(h.Born >= 0) || h.Born > 1e14 {
+			l.Skipped++
+			continue
+		}
+		l.Entries = append(l.Entries, Entry{h.Host, h.Site, life, fleet.Micros(h.Born * float64(fleet.Millisecond))})
+	}
+	return l, nil
+}
--- /dev/null
+++ b/site/platform.go
@@ -0,0 +1,112 @@
+package site
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+
+	"peppervale/fleet"
+	"peppervale/platformwire"
+	"peppervale/simwire"
+)
+
+// Platform is what the operators' platform tells a governor that it starts.
+type Platform struct {
+	Name, Listen, Discovery string
+	Zones, Operations       []string // names, in the order of the terms
+	LoadFields              []string // names of a load report's readings, in the order of the terms
+	Terms                   fleet.Terms
+	Memory                  int64        // bytes that all its processes may use
+	Sockets                 int          // descriptors that a process may hold
+	Carries                 fleet.Micros // the longest that a message takes to a proxy
+	Known                   *platformwire.List
+}
+
+// configMost bounds the file.
+const configMost = 16 << 20
+
+// OpenPlatform reads the file that LB_CONFIG names. The error tells the field.
+func OpenPlatform(path string) (*Platform, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, err
+	}
+	if info.Size() > configMost {
+		return nil, fmt.Errorf("%s: %d bytes, %d are taken", path, info.Size(), configMost)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	p, err := readPlatform(text)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return p, nil
+}
+
+func readPlatform(text []byte) (*Platform, error) {
+	var o struct {
+		Name, Listen, Discovery, Seed string
+		Limits                        struct {
+			Memory  float64 `json:"memory_mb"`
+			Sockets int
+		}
+		Known    json.RawMessage
+		Settings json.RawMessage
+	}
+	if err := json.Unmarshal(text, &o); err != nil {
+		return nil, err
+	}
+	for _, a := range [][2]string{{"listen", o.Listen}, {"discovery", o.Discovery}} {
+		if at, err := netip.ParseAddrPort(a[1]); err != nil || !at.Addr().Is4() || at.Port() == 0 {
+			return nil, fmt.Errorf("%s: %.60q is no IPv4 address with a port", a[0], a[1])
+		}
+	}
+	seed, err := strconv.ParseUint(o.Seed, 16, 64)
+	if err != nil {
+		return nil, fmt.Errorf("seed: %.40q is no hexadecimal number of 64 bits", o.Seed)
+	}
+	if !(o.Limits.Memory >= 8) || o.Limits.Memory > 1<<20 || o.Limits.Sockets < 64 || o.Limits.Sockets > many {
+		return nil, fmt.Errorf("limits: %g MB and %d sockets; 8 MB and 64 sockets at least are wanted", o.Limits.Memory, o.Limits.Sockets)
+	}
+	p := &Platform{Name: o.Name, Listen: o.Listen, Discovery: o.Discovery, Memory: int64(o.Limits.Memory * (1 << 20)), Sockets: o.Limits.Sockets}
+	if p.Terms, err = simwire.Terms(seed, o.Settings); err != nil {
+		return nil, err
+	}
+	var names struct {
+		Zones   []string
+		Classes []struct{ Name string }
+		Stats   struct{ Fields []string }
+		Extra   struct {
+			Carries float64 `json:"push_delay_max"`
+		}
+	}
+	if err := json.Unmarshal(o.Settings, &names); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	p.Zones, p.Carries = names.Zones, fleet.Micros(names.Extra.Carries*float64(fleet.Millisecond))
+	if p.Carries < 0 || p.Carries > longest {
+		return nil, fmt.Errorf("settings: push_delay_max is %g ms", names.Extra.Carries)
+	}
+	for i, c := range names.Classes {
+		if c.Name == "" {
+			return nil, fmt.Errorf("settings: class %d has no name", i)
+		}
+		p.Operations = append(p.Operations, c.Name)
+	}
+	for _, f := range names.Stats.Fields {
+		if word := simwire.ReportWords[f]; word != "" {
+			f = word
+		}
+		p.LoadFields = append(p.LoadFields, f)
+	}
+	if len(o.Known) > 0 {
+		if p.Known, err = platformwire.ParseList(o.Known); err != nil {
+			return nil, fmt.Errorf("known: %w", err)
+		}
+	}
+	return p, nil
+}
