--- a/simwire/terms.go
+++ b/simwire/terms.go
@@ -89,7 +89,3 @@
 	}
 	return t, nil
 }
-
-// ReportWords gives the bench's own word for each reading of a load report, by the name that the start settings have for it.
-var ReportWords = map[string]string{"busy_reqs": "inflight", "pending": "queue", "cpu_share": "util", "svc_ms": "latency_ms",
-	"served_ps": "qps", "failed_ps": "eps"}
--- a/site/platform.go
+++ b/site/platform.go
@@ -97,12 +97,7 @@
 		}
 		p.Operations = append(p.Operations, c.Name)
 	}
-	for _, f := range names.Stats.Fields {
-		if word := simwire.ReportWords[f]; word != "" {
-			f = word
-		}
-		p.LoadFields = append(p.LoadFields, f)
-	}
+	p.LoadFields = names.Stats.Fields // reports on sockets have the settings' own words
 	if len(o.Known) > 0 {
 		if p.Known, err = platformwire.ParseList(o.Known); err != nil {
 			return nil, fmt.Errorf("known: %w", err)
