--- a/decide/decide.go
+++ b/decide/decide.go
@@ -161,14 +161,18 @@
 
 func (g *Governor) settle(r *replica) { r.stamp, r.rests = r.stamp+1, 0 }
 
-// ease starts a replica at a quarter, knowing nothing of it. It may stand in our tables at full weight.
+// ease starts a replica at a quarter, knowing nothing of it. It may stand in our tables at full weight. The 30 s run
+// from its start, if that is why: a governor that itself starts amid a release would hold all for equally young.
 func (g *Governor) ease(r *replica) {
 	r.stamp, r.back = r.stamp+1, r.all.span > 0
-	r.easedAt, r.heardAt, r.fresh, r.all, r.brief = g.now, g.now, sums{}, sums{}, sums{}
+	if r.easedAt = g.now; r.rests == 0 && g.now-r.since < easeSpan {
+		r.easedAt = r.since
+	}
+	r.heardAt, r.fresh, r.all, r.brief = g.now, sums{}, sums{}, sums{}
 	for _, l := range r.lines {
 		l.cut = l.weight > 0
 	}
-	g.after(easeSpan, dueTime{on: eased, r: r, stamp: r.stamp})
+	g.after(r.easedAt+easeSpan-g.now, dueTime{on: eased, r: r, stamp: r.stamp})
 }
 
 // rest withdraws a replica. Eight seconds outlast most silences short of a restart; further rests double.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -129,6 +129,15 @@
 		h.run(20, h.all(8))
 		failIf(t, half < 0.4 || half > 0.8 || h.weights[id(1)] < 0.8, "%v after 15 s, %v after 35 s", half, h.weights[id(1)])
 	})
+	t.Run("is as old as its start, not as the governor", func(t *testing.T) {
+		// On sockets governors restarted amid a release held replicas of three and of ten seconds for equal: the old ones idled.
+		h := warm(t, 8, nil)
+		h.change(fleet.Ready, h.now-10*fleet.Second, 1)
+		h.change(fleet.Ready, h.now-fleet.Second, 2)
+		h.settle()
+		old, young := h.weights[id(1)], h.weights[id(2)]
+		failIf(t, math.Abs(old-0.5) > 0.01 || math.Abs(young-0.275) > 0.01, "weights %v at 10 s, %v at 1 s", old, young)
+	})
 	t.Run("is held out while the gate is shut", func(t *testing.T) {
 		h := begin(t, 8, nil)
 		start(h)
