--- a/decide/decide.go
+++ b/decide/decide.go
@@ -161,8 +161,8 @@
 
 func (g *Governor) settle(r *replica) { r.stamp, r.rests = r.stamp+1, 0 }
 
-// ease starts a replica at a quarter, knowing nothing of it. It may stand in our tables at full weight. The 30 s run
-// from its start, if that is why: a governor that itself starts amid a release would hold all for equally young.
+// ease starts a replica at a quarter, knowing nothing of it. It may stand in our tables at full weight. The 30 s
+// run from its start, if that is why: a governor that starts amid a release would hold all for equally young.
 func (g *Governor) ease(r *replica) {
 	r.stamp, r.back = r.stamp+1, r.all.span > 0
 	if r.easedAt = g.now; r.rests == 0 && g.now-r.since < easeSpan {
@@ -311,7 +311,9 @@
 		g.stress *= min(1, mid/0.7)
 	}
 	if room > 0 {
-		g.stress = max(g.stress, sheds*max(work/room, mid)/0.85) // so full is short
+		// So full is short. Beyond nine tenths it no longer tells how short: all in use counts as nearly jammed.
+		full := max(work/room, mid)
+		g.stress = max(g.stress, sheds*full/0.9, min(0.95, sheds+sheds*(full-0.9)/0.1))
 	}
 	news := g.count(func(r *replica) bool { return g.cold(r) && !r.back })
 	g.colds = float64(news) / float64(max(g.count((*replica).in), 1))
@@ -336,7 +338,7 @@
 			break
 		}
 		if s := &g.shares[g.cheap[len(g.cheap)-1-k]]; g.stress < calm && *s < 1 {
-			*s, g.admitAt = min(1, *s*min(1.6, 0.9*calm/g.stress)+0.02), g.now+pause/2
+			*s, g.admitAt = min(1, *s*min(1.6, calm/g.stress)+0.03), g.now+pause/2
 			break
 		}
 	}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -486,6 +486,15 @@
 		h.run(4, func() { h.busy(1, 6, 100, 0.97); h.busy(7, 10, 100, 0.2) })
 		failIf(t, h.shares[1] > 0.95, "shares %v", h.shares)
 	})
+	t.Run("deeper where all cores are in use, and back while there is room", func(t *testing.T) {
+		// On sockets a release left replicas full: their busy share cannot pass one, so shares fell by a seventh each two seconds
+		// while a third was late, and came back by hundredths once two fifths idled.
+		h := begin(t, 10, func(terms *fleet.Terms) { terms.BusyField = 0 })
+		h.run(4, func() { h.busy(1, 10, 100, 0.99) })
+		failIf(t, h.shares[1] > 0.65, "shares %v with all in use", h.shares)
+		h.run(10, func() { h.busy(1, 10, 100, 0.62) })
+		failIf(t, h.shares[1] < 0.9, "shares %v with two fifths idle", h.shares)
+	})
 	t.Run("a release shows in busy cores before it shows in latency", func(t *testing.T) {
 		// Found by the hunt for broken rules: four of nine drained, and the jam pushed a cold replica over.
 		h := warm(t, 6, func(terms *fleet.Terms) { terms.BusyField = 0 })
