--- a/governor/governor_test.go
+++ b/governor/governor_test.go
@@ -320,3 +320,17 @@
 		b.Run(name+"/look", step(true, false))
 	}
 }
+
+// Where memory is short no journal of causes is kept: neither its entries nor what would go into the next one.
+func TestNoCausesAreKept(t *testing.T) {
+	c := newCauses()
+	c.off = true
+	for n := range 100 {
+		c.input("joined %d", n)
+		c.said = append(c.said, "gate open")
+		c.step(fleet.Micros(n), &board.Batch{Orders: []board.Order{{What: board.Bind}}})
+	}
+	if len(c.ring)+len(c.came)+len(c.said) > 0 || len(c.find(10, nil)) > 0 {
+		t.Fatalf("%d entries", len(c.ring))
+	}
+}
--- a/httpwire/httpwire_test.go
+++ b/httpwire/httpwire_test.go
@@ -94,3 +94,29 @@
 		}
 	})
 }
+
+// An answer without end is handed on as it comes, however it is cut and however long, and none of it is kept.
+func TestAStreamedAnswer(t *testing.T) {
+	part := strings.Repeat("x", 1500)
+	stream := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat("5dc\r\n"+part+"\r\n", 3) + "1\r\n!\r\n0\r\n\r\n"
+	for _, piece := range []int{1, 7, len(stream)} {
+		p := NewParser(true, Bounds{Head: 400, Body: 2000})
+		var got strings.Builder
+		ends := 0
+		p.Stream = func(m *Message, part []byte) error {
+			if m.Status != 200 || len(m.Body) > 2 {
+				t.Fatalf("%+v", m)
+			}
+			got.Write(part)
+			return nil
+		}
+		for rest := stream; len(rest) > 0; rest = rest[min(piece, len(rest)):] {
+			if err := p.Feed([]byte(rest[:min(piece, len(rest))]), func(m *Message) error { ends++; return nil }); err != nil {
+				t.Fatalf("in pieces of %d: %v", piece, err)
+			}
+		}
+		if got.String() != strings.Repeat(part, 3)+"!" || ends != 1 {
+			t.Fatalf("in pieces of %d: %d bytes, %d ends", piece, got.Len(), ends)
+		}
+	}
+}
