A version of discovery that goes back leads to the whole list

A watch whose version is below the one held tells nothing of what lies between; it was folded in as if it were news (roster/watch.go, part). Now that watch fails and the next call asks from nothing on. A test plays it.

--- a/roster/watch.go
+++ b/roster/watch.go
@@ -243,6 +243,11 @@
 		}
 		w := l.watch
 		w.mu.Lock()
+		if !list.Whole && list.Version < w.version { // set back: what lies between is not known
+			w.version = 0
+			w.mu.Unlock()
+			return fmt.Errorf("the version went back to %d", list.Version)
+		}
 		w.take(list)
 		all := w.listings()
 		w.mu.Unlock()
--- a/roster/watch_test.go
+++ b/roster/watch_test.go
@@ -166,3 +166,16 @@
 	to.chunk(object(8, false, one(2, "ready")), 1000)
 	n.next(t, "scope 0 1/1/1/1 2/0/1/2")
 }
+
+// A version that goes back tells nothing of what lies between: the whole list is asked for.
+func TestAVersionThatGoesBack(t *testing.T) {
+	d := openDesk(t)
+	w, n := watch(t, d, &platformwire.List{Version: 41, Whole: true})
+	d.request(41, watching)
+	d.chunk(object(3, false, one(1, "ready")), 1000)
+	n.next(t, "scope 3")
+	w.Follow()
+	d.request(0, watching)
+	d.chunk(object(3, true, one(2, "ready")), 1000)
+	n.next(t, "scope 0 1/0/1/2")
+}
