--- a/command/command.go
+++ b/command/command.go
@@ -69,11 +69,17 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrInput, err)
 	}
-	hangup := make(chan os.Signal, 1)
+	reload := reloads(ctx)
+	return daemon.Serve(ctx, g, daemon.Outside{Reload: reload, Threshold: threshold,
+		Read: func() (*site.Governor, error) { return site.OpenGovernor(c.Config) }}, log)
+}
+
+// reloads passes SIGHUP on until the context ends: one that comes while another waits adds nothing, as the file is then read as it is.
+func reloads(ctx context.Context) <-chan struct{} {
+	hangup, reload := make(chan os.Signal, 1), make(chan struct{}, 1)
 	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
-	reload := make(chan struct{}, 1)
 	go func() {
+		defer signal.Stop(hangup)
 		for {
 			select {
 			case <-ctx.Done():
@@ -81,13 +87,12 @@
 			case <-hangup:
 				select {
 				case reload <- struct{}{}:
-				default: // one is waiting already, and will read the file as it is then
+				default:
 				}
 			}
 		}
 	}()
-	return daemon.Serve(ctx, g, daemon.Outside{Reload: reload, Threshold: threshold,
-		Read: func() (*site.Governor, error) { return site.OpenGovernor(c.Config) }}, log)
+	return reload
 }
 
 // Console is peppervale console.
--- a/command/platform.go
+++ b/command/platform.go
@@ -4,9 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/rs/zerolog"
 
@@ -22,9 +19,7 @@
 
 // Run is the command.
 func (c *Platform) Run(ctx context.Context, out io.Writer) error {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP) // before anything else: one that comes early must not end the process
-	defer signal.Stop(hangup)
+	reload := reloads(ctx) // before anything else: one that comes early must not end the process
 	p, err := site.OpenPlatform(c.Config)
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrInput, err)
@@ -34,20 +29,6 @@
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrInput, err)
 	}
-	reload := make(chan struct{}, 1)
-	go func() {
-		for {
-			select {
-			case <-ctx.Done():
-				return
-			case <-hangup:
-				select {
-				case reload <- struct{}{}:
-				default: // one is waiting already, and will read the file as it is then
-				}
-			}
-		}
-	}()
 	return daemon.ServePlatform(ctx, p, daemon.PlatformOutside{Reload: reload,
 		Read: func() (*site.Platform, error) { return site.OpenPlatform(c.Config) }}, log)
 }
