Sockets: a stop that comes back, and no event of a closed descriptor ends another connection

Forced with tests on real sockets, each of which fails on the code before: - an engine that stops while a connection is being taken in, or while it dials, never stops (20 s, twice of two): nbio's Engine.Stop walks connsUnix and then wgConn.Wait()s; poller.addConn has by then told onOpen (wgConn.Add) and not yet set connsUnix[fd]. That is a hang of the kind that was seen; which of the two it was then cannot be told any more. - a connection that Open ends (platform.opened evicts itself when it is the only stranger) gives its number back before addConn goes on to `connsUnix[fd] = c; addRead(fd)`: "descriptor 13 is watched, and is none of the engine's". - readWriteLoop takes the connection of an event by its number: one closed since the round was gathered, and its number taken by a new one, had the new one closed with EOF ("the new connection was ended: 0 bytes"). - acceptorLoop does not pause for EMFILE: 186 ms of processor time in 300 ms of waiting for a descriptor.

Change: `sockets.Engine` accepts and dials itself, and hands connections to their poller's goroutine, which adds them in a round that began after they came (loop.go). Stop ends addresses and dials first, then has the pollers settle, then nbio. Accepting pauses from 5 to 250 ms where there is no descriptor.

--- a/channel/server.go
+++ b/channel/server.go
@@ -116,7 +116,7 @@
 type Server struct {
 	line   Line
 	events Events
-	engine *nbio.Engine
+	engine *sockets.Engine
 	wake   chan struct{}
 	done   chan struct{}
 	wait   sync.WaitGroup
--- a/day/run.go
+++ b/day/run.go
@@ -14,12 +14,11 @@
 	"syscall"
 	"time"
 
-	"github.com/lesismal/nbio"
-
 	"peppervale/fleet"
 	"peppervale/governor"
 	"peppervale/rules"
 	"peppervale/site"
+	"peppervale/sockets"
 	"peppervale/stand"
 	"peppervale/stand/forwarder"
 	"peppervale/stand/registry"
@@ -52,7 +51,7 @@
 	chance    *stand.Chance
 	folder    string
 	temporary bool
-	engine    *nbio.Engine
+	engine    *sockets.Engine
 	loop      *stand.Loop
 	governors []*process
 	rogue     *rogue
--- a/roster/consul.go
+++ b/roster/consul.go
@@ -38,7 +38,7 @@
 type Consul struct {
 	query  Query
 	to     Receiver
-	engine *nbio.Engine
+	engine *sockets.Engine
 	asked  chan struct{}
 	done   chan struct{}
 	wait   sync.WaitGroup
--- a/roster/watch.go
+++ b/roster/watch.go
@@ -43,7 +43,7 @@
 	zones  []string
 	names  *platformwire.Names
 	log    zerolog.Logger
-	engine *nbio.Engine
+	engine *sockets.Engine
 	asked  chan struct{}
 	moved  chan struct{}
 	done   chan struct{}
--- a/sockets/sockets.go
+++ b/sockets/sockets.go
@@ -1,7 +1,17 @@
 // Package sockets makes the program's nbio engines alike: TCP on the given addresses, quiet, few pollers.
+//
+// Guarantees, which nbio 1.6.8 alone does not give: connections are added by their poller's own goroutine, in a round that began after
+// they came, so that an event of a closed descriptor never ends another connection that got its number; a connection that is being
+// taken in, or dialled, while the engine stops is ended by it, and Stop comes back; an address that finds no descriptor waits and
+// goes on. Open, Data and a dial's done run on the connection's poller, Close after it on another goroutine.
+//
+// Caveats: Open must not close its connection, as the poller goes on with it; see Engine.End.
 package sockets
 
 import (
+	"context"
+	"errors"
+	"fmt"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -21,6 +31,21 @@
 	Wrote func(c *nbio.Conn, n int)
 }
 
+// Engine is an nbio engine with its addresses. Make it with Start.
+type Engine struct {
+	Addrs     []string // that it listens on
+	nbio      *nbio.Engine
+	loops     []*loop
+	listeners []net.Listener
+	ctx       context.Context // ends the dials
+	cancel    context.CancelFunc
+	work      sync.WaitGroup // acceptors and dials
+
+	mu       sync.Mutex
+	stopping bool
+	stopped  sync.Once
+}
+
 // fence orders what Open wrote before what Data reads on another goroutine: between them lies the kernel's poller, of
 // which Go's memory model knows nothing.
 var fence atomic.Int64
@@ -28,48 +53,156 @@
 var quiet = sync.OnceFunc(func() { logging.SetLevel(logging.LevelNone) })
 
 // Start makes and starts an engine; with no address it only dials. Errors are those of the addresses.
-func Start(pollers int, h Handlers, addresses ...string) (*nbio.Engine, error) {
+func Start(pollers int, h Handlers, addresses ...string) (*Engine, error) {
 	quiet()
-	var listeners []*listener
-	listen := func(network, address string) (net.Listener, error) {
-		l, err := open(network, address)
+	e := &Engine{}
+	e.ctx, e.cancel = context.WithCancel(context.Background())
+	for _, address := range addresses {
+		l, err := open("tcp", address)
 		if err != nil {
+			e.closeListeners()
 			return nil, err
 		}
-		listeners = append(listeners, &listener{Listener: l, begun: make(chan struct{})})
-		return listeners[len(listeners)-1], nil
+		e.listeners, e.Addrs = append(e.listeners, l), append(e.Addrs, l.Addr().String())
 	}
-	e := nbio.NewEngine(nbio.Config{Network: "tcp", Addrs: addresses, NPoller: pollers, Listen: listen})
-	ours := func(c *nbio.Conn) bool { _, is := c.Session().(*probe); return is }
-	e.OnOpen(func(c *nbio.Conn) {
+	if err := e.start(pollers, h); err != nil {
+		e.closeListeners()
+		return nil, err
+	}
+	for _, l := range e.listeners {
+		e.work.Add(1)
+		go e.accept(l)
+	}
+	return e, nil
+}
+
+// start starts the pollers. An engine of nbio that is stopped before its goroutines have begun never stops: each of them clears the
+// word to end as it begins. (Seen: a governor ended in the moment that it served hung, and turned a core.) So each poller is waited for.
+func (e *Engine) start(pollers int, h Handlers) error {
+	n := nbio.NewEngine(nbio.Config{Network: "tcp", NPoller: pollers})
+	ours := func(c *nbio.Conn) bool { _, is := c.Session().(*loop); return is }
+	n.OnOpen(func(c *nbio.Conn) {
 		if h.Open != nil && !ours(c) {
 			h.Open(c)
 			fence.Add(1)
 		}
 	})
-	e.OnData(func(c *nbio.Conn, data []byte) {
+	n.OnData(func(c *nbio.Conn, data []byte) {
 		fence.Load()
-		if p, is := c.Session().(*probe); is {
-			p.once.Do(func() { close(p.begun) })
+		if l, is := c.Session().(*loop); is {
+			l.round()
 		} else if h.Data != nil {
 			h.Data(c, data)
 		}
 	})
-	e.OnClose(func(c *nbio.Conn, err error) {
+	n.OnClose(func(c *nbio.Conn, err error) {
 		if h.Close != nil && !ours(c) {
 			h.Close(c, err)
 		}
 	})
 	if h.Wrote != nil {
-		e.OnWrittenSize(func(c *nbio.Conn, _ []byte, n int) { h.Wrote(c, n) })
+		n.OnWrittenSize(func(c *nbio.Conn, _ []byte, n int) { h.Wrote(c, n) })
 	}
-	if err := e.Start(); err != nil {
-		return nil, err
+	for poller := range pollers {
+		l, err := newLoop(poller, pollers)
+		if err != nil {
+			e.endLoops()
+			return err
+		}
+		e.loops = append(e.loops, l)
 	}
-	if err := awaitBegun(e, pollers, listeners); err != nil {
-		return nil, err // an engine that has not begun cannot be stopped either
+	if err := n.Start(); err != nil {
+		e.endLoops()
+		return err
+	}
+	e.nbio = n
+	for _, l := range e.loops {
+		if _, err := n.AddConn(l.conn); err != nil {
+			return err // an engine whose goroutines may not have begun cannot be stopped either
+		}
+		l.settle()
+	}
+	return nil
+}
+
+func (e *Engine) endLoops() {
+	for _, l := range e.loops {
+		_ = l.conn.Close()
+		l.end()
+	}
+}
+
+func (e *Engine) closeListeners() {
+	for _, l := range e.listeners {
+		_ = l.Close()
+	}
+}
+
+// Stop ends the addresses, the dials in work and every connection, and waits for all of it. It may be called again, and not from a
+// handler.
+func (e *Engine) Stop() {
+	e.stopped.Do(func() {
+		e.mu.Lock()
+		e.stopping = true
+		e.mu.Unlock()
+		e.cancel()
+		e.closeListeners()
+		e.work.Wait()
+		// Nothing is added from here on but what was posted already; nbio ends what it knows of, once, and waits for all.
+		for _, l := range e.loops {
+			l.settle()
+		}
+		e.nbio.Stop()
+		for _, l := range e.loops {
+			l.end()
+		}
+	})
+}
+
+// End closes a connection once its poller is done with what it does now; also from Open.
+func (e *Engine) End(c *nbio.Conn) { e.on(c).post(func() { _ = c.Close() }) }
+
+// on is the loop of a connection's poller.
+func (e *Engine) on(c *nbio.Conn) *loop { return e.loops[c.Hash()%len(e.loops)] }
+
+// pauseMost bounds the pause of an address that cannot accept, as for want of a descriptor: long enough not to turn a core, and short
+// beside the time that a caller is given.
+const pauseMost = 250 * time.Millisecond
+
+// accept takes connections in until the address is closed.
+func (e *Engine) accept(l net.Listener) {
+	defer e.work.Done()
+	pause := time.Duration(0)
+	for {
+		conn, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			pause = min(max(2*pause, 5*time.Millisecond), pauseMost)
+			select {
+			case <-time.After(pause):
+				continue
+			case <-e.ctx.Done():
+				return
+			}
+		}
+		pause = 0
+		if c, err := own(conn); err == nil {
+			e.add(c, func(error) {})
+		}
+	}
+}
+
+// add has a connection's poller take it in, and tells it there.
+func (e *Engine) add(c *nbio.Conn, done func(error)) {
+	if !e.on(c).post(func() {
+		_, err := e.nbio.AddConn(c)
+		done(err)
+	}) {
+		_ = c.Close()
+		done(net.ErrClosed)
 	}
-	return e, nil
 }
 
 // own makes a connection nbio's. nbio duplicates its descriptor without close-on-exec: a child process started
@@ -91,23 +224,49 @@
 // dialling bounds the dials in work of a process.
 var dialling = make(chan struct{}, 256)
 
-// Dial connects in the background and hands the connection, with its session set, to done. The engine's own dial of
-// nbio 1.6.8 is not used: it reads IPv4 addresses other than 127.0.0.1 wrongly, and tells a refusal as a connection.
-func Dial(e *nbio.Engine, address string, within time.Duration, session any, done func(*nbio.Conn, error)) {
+// Dial connects in the background and hands the connection, with its session set, to done: on the connection's poller, before any data
+// of it comes; an error on a goroutine of its own. The engine's own dial of nbio 1.6.8 is not used: it reads IPv4 addresses other than
+// 127.0.0.1 wrongly, and tells a refusal as a connection.
+func Dial(e *Engine, address string, within time.Duration, session any, done func(*nbio.Conn, error)) {
+	e.mu.Lock()
+	stopping := e.stopping
+	if !stopping {
+		e.work.Add(1)
+	}
+	e.mu.Unlock()
+	if stopping {
+		go done(nil, fmt.Errorf("dial %s: %w", address, net.ErrClosed))
+		return
+	}
 	go func() {
-		dialling <- struct{}{}
-		conn, err := net.DialTimeout("tcp", address, within)
-		<-dialling
+		defer e.work.Done()
+		conn, err := e.connect(address, within)
 		if err != nil {
 			done(nil, err)
 			return
 		}
 		c, err := own(conn)
-		if err == nil {
-			c.SetSession(session)
-			fence.Add(1)
-			c, err = e.AddConn(c)
+		if err != nil {
+			done(nil, err)
+			return
 		}
-		done(c, err)
+		c.SetSession(session)
+		e.add(c, func(err error) {
+			if err != nil {
+				c = nil
+			}
+			done(c, err)
+		})
 	}()
 }
+
+func (e *Engine) connect(address string, within time.Duration) (net.Conn, error) {
+	select {
+	case dialling <- struct{}{}:
+	case <-e.ctx.Done():
+		return nil, e.ctx.Err()
+	}
+	defer func() { <-dialling }()
+	dialer := net.Dialer{Timeout: within}
+	return dialer.DialContext(e.ctx, "tcp", address)
+}
--- a/stand/registry/registry.go
+++ b/stand/registry/registry.go
@@ -46,7 +46,7 @@
 	loop    *stand.Loop
 	service string
 	seen    func(rules.Seen)
-	engine  *nbio.Engine
+	engine  *sockets.Engine
 	entries []Entry
 	index   uint64
 	waiting []*waiter
--- a/stand/replica/replica.go
+++ b/stand/replica/replica.go
@@ -74,7 +74,7 @@
 	bay      *Bay
 	windows  []fleet.Micros // by operation; 0: not fingerprinted
 	seen     func(rules.Seen)
-	engine   *nbio.Engine
+	engine   *sockets.Engine
 	life     int // grows with each start and stop: what is left of an earlier one does nothing
 	conns    int
 	running  int
