--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -53,9 +53,11 @@
 	defer list.Close()
 	// Proxies speak each report period; three without a word, and the way of a message, are silence.
 	silence := (3*p.Terms.Period + p.Carries).Duration()
+	// An answer that is three times as late is lost, not slow; and one more message a span is what the module leaves free.
 	server, err := platform.Listen(platform.Line{Listen: p.Listen, Zones: p.Zones, Operations: p.Operations, LoadFields: p.LoadFields,
 		Proxies: p.Terms.Proxies, Overhead: p.Terms.Overhead, Names: names, Now: now, Log: log, Limits: platform.Limits{
-			Connections: p.Sockets - ownDescriptors, Greeting: greeting, Unsent: unsentMost, Silence: silence}}, host)
+			Connections: p.Sockets - ownDescriptors, Greeting: greeting, Unsent: unsentMost, Silence: silence,
+			AskAgain: max(3*silence, p.Terms.MessagesSpan.Duration())}}, host)
 	if err != nil {
 		return err
 	}
--- a/sockets/sockets.go
+++ b/sockets/sockets.go
@@ -169,11 +169,21 @@
 // beside the time that a caller is given.
 const pauseMost = 250 * time.Millisecond
 
+// acceptedMost is how many connections of one address may be accepted and not yet taken in by their poller: what Open allows or ends
+// bounds the descriptors in use only as far as it has seen them. The rest waits in the kernel.
+const acceptedMost = 8
+
 // accept takes connections in until the address is closed.
 func (e *Engine) accept(l net.Listener) {
 	defer e.work.Done()
 	pause := time.Duration(0)
+	places := make(chan struct{}, acceptedMost)
 	for {
+		select {
+		case places <- struct{}{}:
+		case <-e.ctx.Done():
+			return
+		}
 		conn, err := l.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
@@ -182,6 +192,7 @@
 			pause = min(max(2*pause, 5*time.Millisecond), pauseMost)
 			select {
 			case <-time.After(pause):
+				<-places
 				continue
 			case <-e.ctx.Done():
 				return
@@ -189,7 +200,9 @@
 		}
 		pause = 0
 		if c, err := own(conn); err == nil {
-			e.add(c, func(error) {})
+			e.add(c, func(error) { <-places })
+		} else {
+			<-places
 		}
 	}
 }
