Discovery: a silent watch is called anew before what it has to tell counts as told

The watch was called dead after 5 s, looked at each 0.25 s, and the next call came a second later: after its first object, 6.50 s*. A trickle of bytes without a whole line kept it alive for good* (`came` set `last` for any byte). A Follow during a watch stayed in `asked`, so that the call after a failure came without its pause*. A move in the pause after a failure was not followed until the module asked*, and one before anybody had asked called discovery, and then called it twice*. Ruled out: `known` as news: it reaches the module as Cached only.

A watch that lived is called anew at once, after a pause drawn from seed and counter (0.25 s at most), twice while nobody answers; only then has a call failed, and the module's second runs. The reckoning stands beside the constants: 4.3 to 4.8 s, with one call lost about 6. Consul's client and the daemon of our own channel keep their times.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -46,7 +46,8 @@
 	host := governor.New(p.Terms, intakeMost, now, log)
 	host.KeepNoCauses()
 	names := platformwire.NewNames()
-	list, err := roster.NewWatch(roster.Discovery{Address: p.Discovery, Zones: p.Zones, Names: names, Known: p.Known, Log: log}, host)
+	list, err := roster.NewWatch(roster.Discovery{Address: p.Discovery, Zones: p.Zones, Names: names, Known: p.Known,
+		Seed: p.Terms.Seed, Log: log}, host)
 	if err != nil {
 		return err
 	}
--- a/roster/watch.go
+++ b/roster/watch.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
+	"hash/fnv"
 	"maps"
+	"net"
 	"slices"
 	"strconv"
 	"sync"
@@ -24,17 +27,21 @@
 	Zones   []string
 	Names   *platformwire.Names // learns each replica that is listed
 	Known   *platformwire.List  // what the list was when this governor last held it; nil: never
+	Seed    uint64              // of the pauses
 	Log     zerolog.Logger
 }
 
-// The platform writes an empty line every 2 s to a watch: two missed and a slow one, and the link is dead, whatever TCP says. A call
-// that waits longer than a second there is ended by the other side.
+// What discovery has to tell counts as told 6 s after it was due, whether it came or not, and the platform writes an empty line every 2 s to
+// a watch. A call that waits longer than a second there is ended by the other side. So a watch is dead after 3 s without a whole line: a
+// second more than its sign of life, for the way. With the pause (0.25 s at most) and a call (a second, and the way) the list is there
+// 4.3 to 4.8 s after the last sign; with a call that vanishes between (1.5 s, 0.25 s) at about 6.
 const (
-	watchSilence = 5 * time.Second
-	watchDial    = 1500 * time.Millisecond
-	watchHead    = 3 * time.Second
-	watchTick    = 250 * time.Millisecond
-	objectMost   = 2 << 20 // bytes of one line of a watch
+	watchSilence = 3 * time.Second
+	watchHead    = 1500 * time.Millisecond // the dial included
+	watchPause   = 250 * time.Millisecond  // at most; drawn, so that governors cut off together do not call in step
+	watchCalls   = 2                       // made at once after a watch that lived, while nobody answers; then the call has failed
+	lineSlice    = 16 << 10                // bytes of an unfinished line that are a sign of life too: a list may be long
+	objectMost   = 2 << 20                 // bytes of one line of a watch
 )
 
 // Watch follows discovery over one open answer. Make it with NewWatch.
@@ -48,6 +55,8 @@
 	moved  chan struct{}
 	done   chan struct{}
 	wait   sync.WaitGroup
+	seed   uint64
+	draws  int
 
 	mu      sync.Mutex
 	address string
@@ -57,7 +66,7 @@
 
 // NewWatch starts a client that does nothing until Follow.
 func NewWatch(d Discovery, to Receiver) (*Watch, error) {
-	w := &Watch{to: to, zones: d.Zones, names: d.Names, log: d.Log, address: d.Address, asked: make(chan struct{}, 1),
+	w := &Watch{to: to, zones: d.Zones, names: d.Names, log: d.Log, seed: d.Seed, address: d.Address, asked: make(chan struct{}, 1),
 		moved: make(chan struct{}, 1), done: make(chan struct{}), held: map[string]platformwire.Entry{}}
 	if d.Known != nil {
 		w.take(d.Known)
@@ -88,7 +97,7 @@
 	}
 }
 
-// Move goes on at another address, from the version that is held.
+// Move goes on at another address, from the version that is held; a call that failed at the one before is not waited for.
 func (w *Watch) Move(address string) {
 	w.mu.Lock()
 	same := w.address == address
@@ -118,22 +127,65 @@
 
 func (w *Watch) run() {
 	defer w.wait.Done()
-	for {
+	for subscribed := false; ; {
 		select {
 		case <-w.asked:
+		case <-w.moved:
+			if !subscribed {
+				continue
+			}
 		case <-w.done:
 			return
 		}
-		for again := true; again; {
-			var err error
-			if again, err = w.follow(); err != nil {
-				w.log.Warn().Err(err).Msg("discovery: watch ended")
-				w.to.Listed(fleet.Failed, nil)
+		subscribed = true
+		w.subscribe()
+	}
+}
+
+// subscribe keeps watches until a call fails, and tells that, or the client is closed. A watch that lived and ended is no failed call:
+// it is made anew.
+func (w *Watch) subscribe() {
+	for calls := 0; ; {
+		l := w.follow()
+		switch {
+		case l.err == nil && l.closed:
+			return
+		case l.err == nil: // moved
+			calls = 0
+			w.log.Info().Msg("discovery: going on at the new address")
+			continue
+		case l.lived():
+			calls = watchCalls
+		case !l.mute:
+			calls = 0
+		}
+		w.log.Warn().Err(l.err).Msg("discovery: watch ended")
+		if calls--; calls < 0 {
+			select {
+			case <-w.asked: // asked for before this
+			default:
 			}
+			w.to.Listed(fleet.Failed, nil)
+			return
+		}
+		pause := time.NewTimer(w.pause())
+		select {
+		case <-pause.C:
+		case <-w.moved:
+		case <-w.done:
 		}
+		pause.Stop()
 	}
 }
 
+// pause draws one.
+func (w *Watch) pause() time.Duration {
+	h := fnv.New64a()
+	w.draws++
+	fmt.Fprint(h, w.seed, " ", w.draws)
+	return time.Duration(h.Sum64() % uint64(watchPause))
+}
+
 // take folds one object of the watch in.
 func (w *Watch) take(l *platformwire.List) {
 	if l.Whole {
@@ -170,19 +222,44 @@
 	return all
 }
 
-// look is one watch in work.
+// look is one call, and the watch that it leads to.
 type look struct {
-	watch  *Watch
-	parser *httpwire.Parser
-	line   []byte
-	once   sync.Once
-	ended  chan error
+	watch   *Watch
+	address string
+	parser  *httpwire.Parser
+	line    []byte
+	once    sync.Once
+	ended   chan error
+	began   time.Time
+	err     error // why it ended; nil: moved, or closed
+	closed  bool
+	mute    bool // it ended for want of any answer, or of a connection
+
+	mu     sync.Mutex
+	conn   *nbio.Conn
+	over   bool // given up: nothing that comes counts
+	heard  bool // the answer has begun
+	last   time.Time
+	slices int // of an unfinished line
+}
+
+// lived tells a watch that was one: it went on for as long as its signs of life are apart.
+func (l *look) lived() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.heard && l.last.Sub(l.began) >= watchSilence/2
+}
 
-	mu   sync.Mutex
-	conn *nbio.Conn
-	over bool // given up: nothing that comes counts
-	last time.Time
-	told bool // it was answered
+// due is how long until it is dead, by what came; and what it died of.
+func (l *look) due() (time.Duration, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.heard {
+		l.mute = true
+		return time.Until(l.began.Add(watchHead)), fmt.Errorf("no answer within %s", watchHead)
+	}
+	l.mute = false
+	return time.Until(l.last.Add(watchSilence)), fmt.Errorf("nothing came for %s", watchSilence)
 }
 
 func (l *look) end(err error) { l.once.Do(func() { l.ended <- err }) }
@@ -204,7 +281,9 @@
 	if l.over {
 		return
 	}
-	l.last = time.Now()
+	if !l.heard {
+		l.heard, l.last = true, time.Now()
+	}
 	if err := l.parser.Feed(data, func(m *httpwire.Message) error {
 		return fmt.Errorf("status %d, and the answer ended: %.80q", m.Status, m.Body)
 	}); err != nil {
@@ -218,7 +297,6 @@
 	if m.Status != 200 {
 		return fmt.Errorf("status %d", m.Status)
 	}
-	l.told = true
 	for len(part) > 0 {
 		i := bytes.IndexByte(part, '\n')
 		if i < 0 {
@@ -229,9 +307,13 @@
 		}
 		l.line = append(l.line, part[:i]...)
 		if i == len(part) {
+			if n := len(l.line) / lineSlice; n > l.slices {
+				l.slices, l.last = n, time.Now()
+			}
 			return nil
 		}
 		part = part[i+1:]
+		l.slices, l.last = 0, time.Now()
 		text := bytes.TrimSpace(l.line)
 		l.line = l.line[:0]
 		if len(text) == 0 {
@@ -256,18 +338,18 @@
 	return nil
 }
 
-// follow keeps one watch until it ends (its error), the address changes (again) or the client is closed.
-func (w *Watch) follow() (again bool, err error) {
+// follow makes one call and keeps its watch until it ends, the address changes or the client is closed.
+func (w *Watch) follow() *look {
 	w.mu.Lock()
 	address, version := w.address, w.version
 	w.mu.Unlock()
-	l := &look{watch: w, ended: make(chan error, 1), last: time.Now()}
+	now := time.Now()
+	l := &look{watch: w, address: address, ended: make(chan error, 1), began: now, last: now}
 	l.parser = httpwire.NewParser(true, httpwire.Bounds{})
 	l.parser.Stream = l.part
-	began := l.last
 	request := httpwire.AppendRequest(nil, "GET", "/v1/endpoints?follow=1&since="+strconv.FormatUint(version, 10), address, nil,
 		"Accept", "application/json")
-	sockets.Dial(w.engine, address, watchDial, l, func(c *nbio.Conn, err error) {
+	sockets.Dial(w.engine, address, watchHead, l, func(c *nbio.Conn, err error) {
 		if err != nil {
 			l.end(err)
 			return
@@ -283,27 +365,31 @@
 		}
 	})
 	defer l.giveUp()
-	tick := time.NewTicker(watchTick)
-	defer tick.Stop()
+	alarm := time.NewTimer(watchHead)
+	defer alarm.Stop()
 	for {
 		select {
-		case err := <-l.ended:
-			return false, err
+		case l.err = <-l.ended:
+			var n net.Error
+			l.mute = errors.As(l.err, &n) && n.Timeout()
+			return l
 		case <-w.moved:
-			w.log.Info().Msg("discovery: going on at the new address")
-			return true, nil
-		case <-w.done:
-			return false, nil
-		case <-tick.C:
-			l.mu.Lock()
-			told, last := l.told, l.last
-			l.mu.Unlock()
-			if !told && time.Since(began) > watchHead {
-				return false, fmt.Errorf("no answer within %s", watchHead)
+			w.mu.Lock()
+			there := w.address == address
+			w.mu.Unlock()
+			if !there { // else it moved before this call, or there and back
+				return l
 			}
-			if time.Since(last) > watchSilence {
-				return false, fmt.Errorf("nothing came for %s", watchSilence)
+		case <-w.done:
+			l.closed = true
+			return l
+		case <-alarm.C:
+			left, dead := l.due()
+			if left <= 0 {
+				l.err = dead
+				return l
 			}
+			alarm.Reset(left)
 		}
 	}
 }
