--- a/board/board.go
+++ b/board/board.go
@@ -20,6 +20,7 @@
 	Weight  float64
 	Out     bool
 	Level   tablewire.Level
+	Back    []fleet.ReplicaID // with a bind: what others may have shut out
 }
 
 // What an order does.
@@ -78,6 +79,7 @@
 // draft is the message being made for a holder: what changed, by its place in the batch.
 type draft struct {
 	bind   bool
+	back   []fleet.ReplicaID
 	lines  []fleet.ReplicaID
 	shuts  []fleet.ReplicaID
 	levels bool
@@ -87,6 +89,7 @@
 type Outgoing struct {
 	To      *Holder
 	Message *tablewire.Message
+	Back    []fleet.ReplicaID // of its table, what others may have shut out: of a bind
 }
 
 // New makes a board for one life of a governor; overhead is the lines that a message costs beyond its own.
@@ -148,6 +151,9 @@
 	}
 }
 
+// Shut tells whether it was told that a replica is out, and not back since.
+func (h *Holder) Shut(r fleet.ReplicaID) bool { return h.shut[r] }
+
 func (h *Holder) drafted() *draft {
 	if h.draft == nil {
 		h.draft = &draft{}
@@ -185,7 +191,7 @@
 			h.receipt = m.Receipt
 			m.Cost++
 		}
-		made = append(made, Outgoing{h, m})
+		made = append(made, Outgoing{h, m, d.back})
 	}
 	return made
 }
@@ -209,7 +215,8 @@
 			b.unbind(h)
 			h.Table = b.table(o.Table)
 			h.Table.users = append(h.Table.users, h)
-			h.drafted().bind = true
+			d := h.drafted()
+			d.bind, d.back = true, o.Back
 		}
 	case Withdraw:
 		if o.Out != b.out[o.Replica] {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -149,7 +149,8 @@
 func (g *Governor) tell(r *replica, on input) {
 	from := r.state
 	apply(g, replicaMoves, &r.state, on, r)
-	g.changed = true
+	// Whoever was out here, or started lately, may have been shut out by other governors too.
+	g.changed, r.doubt = true, r.doubt || r.since > 0 || on != listed && from != r.state
 	if from != r.state && on != listed { // hundreds of these would flood the log at start
 		g.host.Log(fmt.Sprintf("replica %v:%d zone %d %s%s", r.id.Addr, r.id.Port, r.zone, inputNames[on], g.why))
 	}
@@ -552,6 +553,7 @@
 		g.weighQueue()
 		g.bindTurn()
 		g.withdraw()
+		g.clear()
 		g.solve()
 		g.beaten, g.changed = false, false
 	}
@@ -642,7 +644,7 @@
 		if none {
 			g.tell(r, rested)
 		}
-		switch again := r.told && g.beaten && g.loose > 0 && r.toldAt <= g.joinedAt; {
+		switch again := r.told && g.loose > 0 && r.toldAt <= g.joinedAt; {
 		case !g.out(r) || r.told && !again:
 		case r.member():
 			waits[2] = append(waits[2], r)
@@ -652,11 +654,22 @@
 			waits[0] = append(waits[0], r)
 		}
 	}
-	// A bind tells all that is out too, for less where few are loose.
-	again := len(waits[1])
-	g.rush = g.gate == open && again > 0 && g.loose*(head+2+2*g.longest) < len(g.proxies)*(head+again)
+	// A bind tells all that is out too, for less where few are loose or much is to be told: then withdrawals wait for
+	// the binds, and lines that must go leave the tables first (clear). Not where a loose proxy can take no message.
+	again, parts := len(waits[1]), (len(waits[0])+head-1)/head
+	binds, full := 0, false
+	for _, p := range g.proxies {
+		if p.state == loose {
+			binds += head + g.bindCost(p.zone)
+			full = full || g.terms.MessagesMost > 0 && len(p.sent)+2 >= g.terms.MessagesMost
+		}
+	}
+	g.rush = g.gate == open && parts+again > 0 && g.loose > 0 && !full &&
+		binds < len(g.proxies)*(head*max(parts, 1)+len(waits[0])+again)
 	if g.blocked = false; g.rush {
-		waits[1] = nil
+		waits = [3][]*replica{}
+	} else if !g.beaten {
+		waits[1] = nil // those who come at one time are told together
 	}
 	for i, most := range []float64{urgent, urgent, 0.7} {
 		size := 1
@@ -672,6 +685,16 @@
 	}
 }
 
+// clear takes lines that proxies must not pick out of the tables while binds carry the withdrawals: who is bound
+// already is told so, and a bind has less to tell. Binds come first: who is loose has waited longer.
+func (g *Governor) clear() {
+	for _, t := range g.tables {
+		if g.rush {
+			g.order(t, urgent, 1, func(l *line) bool { return l.weight > 0 && !l.r.member() })
+		}
+	}
+}
+
 // bindTurn binds a fifth of the proxies a beat once the gate is open; before that only one that may be bare.
 func (g *Governor) bindTurn() {
 	quota, risk := 1+len(g.proxies)/5, make([]bool, len(g.zones))
@@ -680,12 +703,12 @@
 	}
 	g.loose = 0
 	for _, p := range g.proxies {
-		switch one, lines := []*proxy{p}, 2+2*g.longest; {
+		switch one, lines := []*proxy{p}, g.bindCost(p.zone); {
 		case p.state != loose:
 		case risk[p.zone] && g.pay(one, lines, urgent, 1):
 			apply(g, proxyMoves, &p.state, atRisk, p)
 		case g.gate == open && g.beaten && !g.blocked && quota > 0 && g.pay(one, lines, 0.5, 2),
-			g.rush && g.pay(one, lines, 0.7, 2):
+			g.rush && g.pay(one, lines, urgent, 2):
 			quota--
 			apply(g, proxyMoves, &p.state, turn, p)
 		default:
@@ -694,6 +717,27 @@
 	}
 }
 
+// bindCost is what a bind in a zone costs beyond its head at most: each line of a table, and as much for each whose
+// replica is out, or is told back as others may have shut it out.
+func (g *Governor) bindCost(zone int) int {
+	most := 0
+	for _, t := range g.zones[zone] {
+		n := 0
+		for _, l := range t.lines {
+			if l.weight > 0 && (l.r.doubt || l.r.told) {
+				n += 2
+			} else if l.weight > 0 {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	if most == 0 {
+		most = 2 * g.longest
+	}
+	return 2 + most
+}
+
 // bare tells whether withdrawals may have emptied a standing table: few lines, of its zone if it has three.
 func (g *Governor) bare(zone int) bool {
 	near := func(r *replica) bool { return r.zone == zone }
@@ -712,7 +756,13 @@
 	load := func(t *table) float64 { return (t.usual + p.usual) / (float64(t.open()) + 0.1) }
 	t := slices.MinFunc(g.zones[p.zone], func(a, b *table) int { return cmp.Compare(load(a), load(b)) })
 	p.table, t.users, t.usual = t, append(t.users, p), t.usual+p.usual
-	g.host.Bind(p.id, t.id)
+	var back []fleet.ReplicaID
+	for _, l := range t.lines {
+		if l.weight > 0 && l.r.doubt && !l.r.told {
+			back = append(back, l.r.id)
+		}
+	}
+	g.host.Bind(p.id, t.id, back)
 }
 
 // order sends the asked lines that change, if they fit; none new to what is out: its withdrawal missed it.
@@ -724,7 +774,13 @@
 			lines = append(lines, l)
 		}
 	}
-	if len(lines) > 0 && !g.pay(t.users, len(lines), most, spare) {
+	cost := len(lines)
+	for _, l := range lines {
+		if l.weight == 0 {
+			cost++ // a new line may bring along that its replica is out, or back
+		}
+	}
+	if len(lines) > 0 && !g.pay(t.users, cost, most, spare) {
 		return false
 	}
 	for _, l := range lines {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -639,14 +639,14 @@
 	asked  bool
 }
 
-func (h *nullHost) Assign(fleet.TableID, fleet.ReplicaID, float64) {}
-func (h *nullHost) Bind(fleet.ProxyID, fleet.TableID)              {}
-func (h *nullHost) Withdraw(fleet.ReplicaID, bool)                 {}
-func (h *nullHost) Level(uint16, float64, fleet.Way)               {}
-func (h *nullHost) Receipt(number uint32, _ bool)                  { h.due, h.asked = number, true }
-func (h *nullHost) Wake(fleet.Micros)                              {}
-func (h *nullHost) Follow()                                        {}
-func (h *nullHost) Log(string)                                     {}
+func (h *nullHost) Assign(fleet.TableID, fleet.ReplicaID, float64)       {}
+func (h *nullHost) Bind(fleet.ProxyID, fleet.TableID, []fleet.ReplicaID) {}
+func (h *nullHost) Withdraw(fleet.ReplicaID, bool)                       {}
+func (h *nullHost) Level(uint16, float64, fleet.Way)                     {}
+func (h *nullHost) Receipt(number uint32, _ bool)                        { h.due, h.asked = number, true }
+func (h *nullHost) Wake(fleet.Micros)                                    {}
+func (h *nullHost) Follow()                                              {}
+func (h *nullHost) Log(string)                                           {}
 
 // BenchmarkStep times a step (a beat, a fifth of a second of the fleet's time) with the sums of all replicas once a
 // second and receipts at once. It tells mean, p99 and the worst of a fleet's first hundred seconds.
--- a/decide/host_test.go
+++ b/decide/host_test.go
@@ -17,6 +17,7 @@
 	weights map[fleet.ReplicaID]float64 // of table 0
 	tables  map[fleet.TableID]int       // lines ordered
 	bound   map[fleet.ProxyID]int       // binds
+	back    map[fleet.ProxyID][]fleet.ReplicaID
 	out     map[fleet.ReplicaID]bool
 	shares  map[uint16]float64
 	ways    map[fleet.Way]bool
@@ -42,7 +43,8 @@
 		h.weights[r] = w
 	}
 }
-func (h *fakeHost) Bind(p fleet.ProxyID, t fleet.TableID) {
+func (h *fakeHost) Bind(p fleet.ProxyID, t fleet.TableID, back []fleet.ReplicaID) {
+	h.back[p] = back
 	h.orders = append(h.orders, fmt.Sprint(p, t))
 	h.bound[p]++
 }
@@ -87,7 +89,7 @@
 		change(&terms)
 	}
 	h := &fakeHost{t: t, now: fleet.Second, acks: true, weights: map[fleet.ReplicaID]float64{},
-		tables: map[fleet.TableID]int{}, bound: map[fleet.ProxyID]int{}, out: map[fleet.ReplicaID]bool{},
+		tables: map[fleet.TableID]int{}, bound: map[fleet.ProxyID]int{}, back: map[fleet.ProxyID][]fleet.ReplicaID{}, out: map[fleet.ReplicaID]bool{},
 		shares: map[uint16]float64{}, ways: map[fleet.Way]bool{}}
 	h.g = New(terms, h, h.now)
 	var entries []fleet.Listing
--- a/decide/rules_test.go
+++ b/decide/rules_test.go
@@ -12,7 +12,7 @@
 // world is a fleet by chance with a channel of a pace: it carries a governor's orders to proxies late, acknowledges
 // them, and judges by what proxies hold. It knows nothing of the governor but its orders.
 type world struct {
-	t        *rapid.T
+	t        interface{ Fatalf(string, ...any) }
 	terms    fleet.Terms
 	g        *Governor
 	now      fleet.Micros
@@ -63,6 +63,11 @@
 	lands   fleet.Micros
 }
 
+func newWorld(t interface{ Fatalf(string, ...any) }) *world {
+	return &world{t: t, now: 100 * fleet.Second, stretch: 1, replicas: map[fleet.ReplicaID]*worldReplica{}, proxies: map[fleet.ProxyID]*worldProxy{},
+		tables: map[fleet.TableID]map[fleet.ReplicaID]float64{}, users: map[fleet.TableID]map[fleet.ProxyID]bool{}, out: map[fleet.ReplicaID]bool{}, draft: map[fleet.ProxyID]*parcel{}}
+}
+
 func (w *world) to(p fleet.ProxyID) *parcel {
 	if w.draft[p] == nil {
 		w.draft[p] = &parcel{to: p, stream: w.proxies[p].stream, cost: w.terms.Overhead, receipt: -1}
@@ -90,7 +95,7 @@
 	}
 }
 
-func (w *world) Bind(p fleet.ProxyID, t fleet.TableID) {
+func (w *world) Bind(p fleet.ProxyID, t fleet.TableID, back []fleet.ReplicaID) {
 	x := w.proxies[p]
 	if x == nil || !x.joined {
 		w.t.Fatalf("a bind for proxy %d, which is not joined", p)
@@ -105,7 +110,7 @@
 	w.users[t][p] = true
 	m := w.to(p)
 	// Lines that follow in the same reply come with it.
-	m.cost += 1 + len(w.tables[t]) + w.levels + len(w.out)
+	m.cost += 1 + len(w.tables[t]) + w.levels + len(w.out) + len(back)
 	m.do = append(m.do, func(x *worldProxy) {
 		clear(x.lines)
 		clear(x.out)
@@ -330,8 +335,7 @@
 		zones := rapid.IntRange(1, 3).Draw(t, "zones")
 		n := rapid.IntRange(4, 24).Draw(t, "replicas")
 		p := rapid.IntRange(2, 60).Draw(t, "proxies")
-		w := &world{t: t, now: 100 * fleet.Second, stretch: 1, replicas: map[fleet.ReplicaID]*worldReplica{}, proxies: map[fleet.ProxyID]*worldProxy{},
-			tables: map[fleet.TableID]map[fleet.ReplicaID]float64{}, users: map[fleet.TableID]map[fleet.ProxyID]bool{}, out: map[fleet.ReplicaID]bool{}, draft: map[fleet.ProxyID]*parcel{}}
+		w := newWorld(t)
 		w.late = fleet.Micros(rapid.IntRange(1, 300).Draw(t, "late")) * fleet.Millisecond
 		// What can't be put off fits twice, with all proxies on this governor: the limits are set so for each day.
 		w.pace = float64(p*(9+n)) * rapid.Float64Range(1, 4).Draw(t, "pace")
@@ -436,3 +440,57 @@
 		}
 	})
 }
+
+// Four of five governors die amid a release, so 185 proxies come over to the fifth, with the tables that those laid; then sixty replicas
+// are drained or gone at once. Told one by one, on untold tables, that costs each of them eight messages: at the channel's pace
+// 8.9 s, where 3 s are allowed (figures of herd+mass, 30 nodes, seed 2). Bound first, they need be told of none.
+func TestManyDrainsMeetManyJoiners(t *testing.T) {
+	const n, own, over = 200, 19, 185
+	w := newWorld(t)
+	w.pace, w.late, w.grace, w.bare = 2900, 122*fleet.Millisecond, 3*fleet.Second, 4100*fleet.Millisecond
+	w.terms = fleet.Terms{Seed: 7, Operations: []fleet.Operation{{Objective: 500_000, Value: 1}, {Objective: 750_000, Value: 3}}, Zones: 4, Subscribe: true,
+		Admits: true, AdmitAll: 1, StandingSize: 6, Period: fleet.Second, Overhead: 6, QueueMost: 6300, CrossPrice: 0.08, PushPrice: 0.02, BusyField: -1,
+		Cold: 17 * fleet.Second, Proxies: 240, ConnsLeast: 200}
+	var all, drained []int
+	for k := range n {
+		w.replicas[id2(k+1)] = &worldReplica{zone: k % 4, life: fleet.Ready, told: -1}
+		if all = append(all, k+1); k%10 < 3 {
+			drained = append(drained, k+1)
+		}
+	}
+	w.g = New(w.terms, w, w.now)
+	w.list(fleet.Cached, all...)
+	began, joined := w.now, 0
+	for beat := 1; beat <= 90; beat++ { // 0.2 s each
+		w.pass(began + fleet.Micros(beat)*200*fleet.Millisecond)
+		for joined < min(own+max(0, (beat-50)*over/6), own+over) {
+			p := fleet.ProxyID(joined)
+			w.join(p, joined%4, true)
+			for k := range 12 { // what others laid
+				w.proxies[p].lines[id2((joined*37+k*17)%n+1)] = 1
+			}
+			joined++
+		}
+		if beat == 58 {
+			for _, k := range drained {
+				w.replicas[id2(k)].life = fleet.Draining
+			}
+			w.list(fleet.Change, drained...)
+		}
+		if beat%5 == 0 {
+			for _, k := range all {
+				if r := w.replicas[id2(k)]; r.life == fleet.Ready {
+					w.g.Heard(w.now, fleet.Sum{Replica: id2(k), Zone: r.zone, Tries: 10, Latency: 120 * fleet.Millisecond, Span: fleet.Second})
+				}
+			}
+		}
+		w.g.Rang(w.now)
+		w.settle()
+		w.judge()
+	}
+	for id, x := range w.proxies {
+		if !x.bound {
+			t.Fatalf("proxy %d is not bound", id)
+		}
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -69,6 +69,7 @@
 	busyAt                       fleet.Micros
 	rests, stamp                 int  // rests in a row; for dueTime
 	heard, told, back            bool // named in a report; its withdrawal was sent, last at toldAt; it restarted
+	doubt                        bool // others may have shut it out
 	toldAt                       fleet.Micros
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -105,7 +105,9 @@
 // message for each proxy concerned.
 type Host interface {
 	Assign(t TableID, r ReplicaID, weight float64) // one table line; 0 removes it
-	Bind(p ProxyID, t TableID)                     // put a proxy on a table for all operations
+	// Bind puts a proxy on a table for all operations. Other governors may have shut out those of back, and not let them in again: where
+	// that outlasts a bind, the proxy is told with it.
+	Bind(p ProxyID, t TableID, back []ReplicaID)
 	Withdraw(r ReplicaID, out bool)                // shut a replica out of every table, or let it back
 	Level(operations uint16, share float64, w Way) // what all joined proxies let in and when they try again
 	Receipt(number uint32, all bool)               // ask the proxies reached for an answer, or all joined
--- a/roster/watch.go
+++ b/roster/watch.go
@@ -271,7 +271,7 @@
 	conn := l.conn
 	l.mu.Unlock()
 	if conn != nil {
-		_ = conn.Close()
+		l.watch.engine.End(conn)
 	}
 }
 
--- a/sockets/sockets.go
+++ b/sockets/sockets.go
@@ -5,7 +5,7 @@
 // taken in, or dialled, while the engine stops is ended by it, and Stop comes back; an address that finds no descriptor waits and
 // goes on. Open, Data and a dial's done run on the connection's poller, Close after it on another goroutine.
 //
-// Caveats: Open must not close its connection, as the poller goes on with it; see Engine.End.
+// Caveats: a connection should be closed by Engine.End: the poller may be adding it, or looking at it.
 package sockets
 
 import (
@@ -159,7 +159,9 @@
 	})
 }
 
-// End closes a connection once its poller is done with what it does now; also from Open.
+// End has a connection's poller close it, between two of its rounds: from wherever it is called, also from Open. A close on another
+// goroutine may cross the poller's look at the same descriptor; the kernel (seen on 6.18) then keeps the connection up until that look
+// returns, which is when something else happens.
 func (e *Engine) End(c *nbio.Conn) { e.on(c).post(func() { _ = c.Close() }) }
 
 // on is the loop of a connection's poller.
