--- a/board/board.go
+++ b/board/board.go
@@ -20,7 +20,9 @@
 	Weight  float64
 	Out     bool
 	Level   tablewire.Level
-	Back    []fleet.ReplicaID // with a bind: what others may have shut out
+	// With a bind: the operations that the table is for, by 1 << their place (0: all), and what others may have shut out.
+	Operations uint16
+	Back       []fleet.ReplicaID
 }
 
 // What an order does.
@@ -69,7 +71,10 @@
 type Holder struct {
 	Proxy   fleet.ProxyID
 	Name    string
-	Table   *Table                   // nil: on tables of its own
+	Table   *Table // nil: on tables of its own
+	For     uint16 // operations that it is for; 0: all
+	Home    *Table // of the other operations, where those that stay in a zone have their own; else nil
+	HomeFor uint16
 	version uint64                   // of the newest message made for it
 	receipt int                      // the newest number asked of it
 	shut    map[fleet.ReplicaID]bool // told out, and not back since
@@ -80,6 +85,7 @@
 type draft struct {
 	bind   bool
 	back   []fleet.ReplicaID
+	home   []fleet.ReplicaID // lines of its table for operations that stay in a zone
 	lines  []fleet.ReplicaID
 	shuts  []fleet.ReplicaID
 	levels bool
@@ -90,6 +96,14 @@
 	To      *Holder
 	Message *tablewire.Message
 	Back    []fleet.ReplicaID // of its table, what others may have shut out: of a bind
+	Parts   []Part            // where operations have tables of their own: these, in place of the message's lines
+}
+
+// Part is what changes in a table for some operations.
+type Part struct {
+	Operations uint16
+	Whole      bool
+	Lines      []tablewire.Line
 }
 
 // New makes a board for one life of a governor; overhead is the lines that a message costs beyond its own.
@@ -118,10 +132,12 @@
 }
 
 func (b *Board) unbind(h *Holder) {
-	if h.Table != nil {
-		h.Table.users = slices.DeleteFunc(h.Table.users, func(x *Holder) bool { return x == h })
-		h.Table = nil
+	for _, t := range []*Table{h.Table, h.Home} {
+		if t != nil {
+			t.users = slices.DeleteFunc(t.users, func(x *Holder) bool { return x == h })
+		}
 	}
+	h.Table, h.For, h.Home, h.HomeFor = nil, 0, nil, 0
 }
 
 func (b *Board) table(id fleet.TableID) *Table {
@@ -166,8 +182,10 @@
 	if h.Table == nil {
 		return true
 	}
-	_, there := h.Table.at[r]
-	return there
+	if h.Home != nil && h.Home.has(r) {
+		return true
+	}
+	return h.Table.has(r)
 }
 
 // Apply carries a batch out on the board and makes one message for each forwarder concerned.
@@ -191,7 +209,7 @@
 			h.receipt = m.Receipt
 			m.Cost++
 		}
-		made = append(made, Outgoing{h, m, d.back})
+		made = append(made, Outgoing{h, m, d.back, h.parts(d, m)})
 	}
 	return made
 }
@@ -204,7 +222,11 @@
 		t.set(o.Replica, o.Weight)
 		for _, h := range t.users {
 			d := h.drafted()
-			d.lines = append(d.lines, o.Replica)
+			if h.Home == t {
+				d.home = append(d.home, o.Replica)
+			} else {
+				d.lines = append(d.lines, o.Replica)
+			}
 			// A line laid anew brings along what passed it by while there was none: a withdrawal, or its end.
 			if !had && b.out[o.Replica] != h.shut[o.Replica] {
 				d.shuts = append(d.shuts, o.Replica)
@@ -212,11 +234,15 @@
 		}
 	case Bind:
 		if h := b.ByProxy[o.Proxy]; h != nil {
-			b.unbind(h)
-			h.Table = b.table(o.Table)
-			h.Table.users = append(h.Table.users, h)
-			d := h.drafted()
-			d.bind, d.back = true, o.Back
+			t, d := b.table(o.Table), h.drafted()
+			if o.Operations != 0 && h.Table != nil && h.For != 0 && h.For&o.Operations == 0 && h.Home == nil {
+				h.Home, h.HomeFor = t, o.Operations
+			} else {
+				b.unbind(h)
+				h.Table, h.For, d.back = t, o.Operations, nil
+			}
+			t.users = append(t.users, h)
+			d.bind, d.back = true, append(d.back, o.Back...)
 		}
 	case Withdraw:
 		if o.Out != b.out[o.Replica] {
@@ -278,6 +304,38 @@
 	return m
 }
 
+// parts takes the lines of a message whose tables are for some operations each out of it.
+func (h *Holder) parts(d *draft, m *tablewire.Message) (all []Part) {
+	if h.For == 0 {
+		return nil
+	}
+	if m.Whole || len(m.Lines) > 0 {
+		all = append(all, Part{h.For, m.Whole, m.Lines})
+	}
+	m.Lines = nil
+	if h.Home == nil {
+		return all
+	}
+	home := Part{Operations: h.HomeFor, Whole: d.bind}
+	if d.bind {
+		home.Lines = slices.Clone(h.Home.Lines)
+		m.Cost++
+	}
+	seen := map[fleet.ReplicaID]bool{}
+	for _, r := range d.home {
+		if !d.bind && !seen[r] {
+			seen[r] = true
+			home.Lines = append(home.Lines, tablewire.Line{Replica: r, Weight: h.Home.weight(r)})
+		}
+	}
+	if m.Cost += len(home.Lines); home.Whole || len(home.Lines) > 0 {
+		all = append(all, home)
+	}
+	return all
+}
+
+func (t *Table) has(r fleet.ReplicaID) bool { _, there := t.at[r]; return there }
+
 func (t *Table) weight(r fleet.ReplicaID) float64 {
 	if i, there := t.at[r]; there {
 		return t.Lines[i].Weight
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"runtime"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -55,11 +57,11 @@
 	// Proxies speak each report period; three without a word, and the way of a message, are silence.
 	silence := (3*p.Terms.Period + p.Carries).Duration()
 	// An answer that is three times as late is lost, not slow; and one more message a span is what the module leaves free.
-	server, err := platform.Listen(platform.Line{Listen: p.Listen, Zones: p.Zones, Operations: p.Operations, LoadFields: p.LoadFields,
+	server, err := listen(ctx, platform.Line{Listen: p.Listen, Zones: p.Zones, Operations: p.Operations, LoadFields: p.LoadFields,
 		Proxies: p.Terms.Proxies, Overhead: p.Terms.Overhead, Names: names, Now: now, Log: log, Limits: platform.Limits{
 			Connections: p.Sockets - ownDescriptors, Greeting: greeting, Unsent: unsentMost, Silence: silence,
 			AskAgain: max(3*silence, p.Terms.MessagesSpan.Duration())}}, host)
-	if err != nil {
+	if err != nil || server == nil { // nil: ended while the address was waited for
 		return err
 	}
 	defer server.Close()
@@ -92,6 +94,27 @@
 	}
 }
 
+// An address that an earlier process still holds is tried again each bindPause for up to bindMost: the platform restarts governors under
+// their addresses, and gives them 30 s to be ready.
+const (
+	bindPause = 20 * time.Millisecond
+	bindMost  = 20 * time.Second
+)
+
+func listen(ctx context.Context, line platform.Line, host *governor.Host) (*platform.Server, error) {
+	for late := time.Now().Add(bindMost); ; {
+		server, err := platform.Listen(line, host)
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(late) {
+			return server, err
+		}
+		select {
+		case <-time.After(bindPause):
+		case <-ctx.Done():
+			return nil, nil
+		}
+	}
+}
+
 // intakeMost is no bound in service: the platform's collectors keep to their own, and the mailbox holds a sum for each zone and replica.
 const intakeMost = 100_000
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -66,7 +66,7 @@
 	proxies, written                []*proxy // joined; reached by the reply being written
 	byProxy                         map[fleet.ProxyID]*proxy
 	tables                          []*table
-	zones                           [][]*table // the same by zone
+	zones                           [][]*table // the same by zone, then those for operations that stay in it
 	width, longest, turn            int        // lines wanted and most lines of a table; the next first one
 	due                             []dueTime
 	unacked, aged, receipt, chances int       // aged: see weighQueue
@@ -89,6 +89,9 @@
 	g := &Governor{terms: t, host: host, now: now, foldedAt: now, gate: shut, way: fleet.WhenUnrun,
 		byID: map[fleet.ReplicaID]*replica{}, byProxy: map[fleet.ProxyID]*proxy{},
 		told: make([]float64, len(t.Operations)), zones: make([][]*table, t.Zones)}
+	if t.OwnZone != 0 && t.OwnZone != 1<<len(t.Operations)-1 {
+		g.zones = make([][]*table, 2*t.Zones)
+	}
 	for i, op := range t.Operations {
 		g.shares, g.cheap = append(g.shares, t.AdmitAll), append(g.cheap, i)
 		g.objective += float64(op.Objective) / float64(len(t.Operations))
@@ -480,7 +483,7 @@
 // lay makes a zone's tables. A line costs connections, handshakes and orders: it is wanted for a try each 2.5
 // s, or more where orders are dear, up to a quarter of the connections of the smallest replica. Eight at
 // least, to lose a few, and so many that eighteen proxies feed each replica, to even them out; 2/3 near.
-func (g *Governor) lay(zone int) {
+func (g *Governor) lay(list int) {
 	usual, n, proxies := 0.0, float64(len(g.replicas)), float64(max(g.terms.Proxies, 1))
 	for _, p := range g.proxies {
 		usual += p.usual / float64(len(g.proxies))
@@ -490,25 +493,30 @@
 	if g.width = max(len(g.replicas), 1); tries > 0 && conns > 0 {
 		g.width = int(min(max(8, 18*n/proxies, min(tries, conns)), float64(g.width)))
 	}
+	zone := list % g.terms.Zones
 	near := g.count(func(r *replica) bool { return r.zone == zone && r.member() })
 	for range max(1, (3*near+g.width-1)/(2*g.width)) {
-		t := &table{id: fleet.TableID(len(g.tables)), zone: zone, width: g.width}
-		g.tables, g.zones[zone] = append(g.tables, t), append(g.zones[zone], t)
+		t := &table{id: fleet.TableID(len(g.tables)), zone: zone, list: list, width: g.width}
+		t.own = g.terms.OwnZone != 0 && list >= len(g.zones)-g.terms.Zones
+		g.tables, g.zones[list] = append(g.tables, t), append(g.zones[list], t)
 	}
-	g.fill(zone)
+	g.fill(list)
 	g.weigh()
-	for _, t := range g.zones[zone] {
+	for _, t := range g.zones[list] {
 		g.order(t, 1, 0, func(*line) bool { return true })
 	}
 }
 
-// fill gives the zone's shortest table one more line, until all have enough and each near replica is in one.
+// fill gives a zone's shortest table one more line, until all have enough and each near replica is in one. Tables
+// for operations that stay in the zone have near ones only.
 // Those with the fewest lines in the zone come first, near ones before others, then the fewest in all.
-func (g *Governor) fill(zone int) {
-	here := func(l *line) bool { return l.t.zone == zone }
+func (g *Governor) fill(list int) {
+	zone := list % g.terms.Zones
+	here := func(l *line) bool { return l.t.list == list }
 	unplaced := func(r *replica) bool { return r.zone == zone && r.in() && !slices.ContainsFunc(r.lines, here) }
 	short := func(t *table) bool { return t.open() < t.width }
-	if all := g.zones[zone]; len(all) == 0 ||
+	all := g.zones[list]
+	if len(all) == 0 ||
 		!slices.ContainsFunc(all, short) && !slices.ContainsFunc(g.replicas, unplaced) {
 		return
 	}
@@ -516,7 +524,7 @@
 	ranks := g.rank(func(r *replica) int {
 		score := len(r.lines)
 		for _, l := range r.lines {
-			if l.t.zone == zone {
+			if here(l) {
 				score += ofZone
 			}
 		}
@@ -526,12 +534,12 @@
 		return score
 	})
 	for {
-		t := slices.MinFunc(g.zones[zone], func(a, b *table) int { return a.open() - a.width - b.open() + b.width })
+		t := slices.MinFunc(all, func(a, b *table) int { return a.open() - a.width - b.open() + b.width })
 		open := t.open()
 		// Beyond the width a far cold one is not wanted: it would take the run of a zone that is short.
 		best := ranks.take(func(r *replica) bool {
 			there := slices.ContainsFunc(r.lines, func(l *line) bool { return l.t == t })
-			return r.in() && !there && (r.zone == zone || open < g.width || !g.cold(r))
+			return r.in() && !there && (r.zone == zone || !t.own && (open < g.width || !g.cold(r)))
 		})
 		if best == nil || open >= t.width && best.score >= 1000 {
 			return
@@ -621,6 +629,10 @@
 				holders = append(holders, l.t.users...)
 			}
 		}
+		if len(g.zones) > g.terms.Zones { // a proxy has two tables, and is told once
+			slices.SortFunc(holders, func(a, b *proxy) int { return cmp.Compare(a.id, b.id) })
+			holders = slices.Compact(holders)
+		}
 	}
 	if !g.pay(holders, len(replicas), most, spare) {
 		return false
@@ -637,11 +649,16 @@
 // the queue full of heads (many proxies come over from a lost governor while replicas are lost too). So what
 // waits leaves together, what nobody was told of first, and binds and weights hold back until it has left.
 func (g *Governor) withdraw() {
-	none := g.count(g.out) == len(g.replicas)
+	none := make([]bool, g.terms.Zones) // nothing is left in, of all or for operations that stay in a zone
+	for zone := range none {
+		none[zone] = !slices.ContainsFunc(g.replicas, func(r *replica) bool {
+			return !g.out(r) && (g.terms.OwnZone == 0 || r.zone == zone)
+		})
+	}
 	head := g.terms.Overhead + 1 + len(g.shares)
 	var waits [3][]*replica // what drains comes before what may come back
 	for _, r := range g.replicas {
-		if none {
+		if none[r.zone] {
 			g.tell(r, rested)
 		}
 		switch again := r.told && g.loose > 0 && r.toldAt <= g.joinedAt; {
@@ -697,7 +714,7 @@
 
 // bindTurn binds a fifth of the proxies a beat once the gate is open; before that only one that may be bare.
 func (g *Governor) bindTurn() {
-	quota, risk := 1+len(g.proxies)/5, make([]bool, len(g.zones))
+	quota, risk := 1+len(g.proxies)/5, make([]bool, g.terms.Zones)
 	for zone := range risk {
 		risk[zone] = g.gate == shut && g.bare(zone)
 	}
@@ -719,23 +736,26 @@
 
 // bindCost is what a bind in a zone costs beyond its head at most: each line of a table, and as much for each whose
 // replica is out, or is told back as others may have shut it out.
-func (g *Governor) bindCost(zone int) int {
-	most := 0
-	for _, t := range g.zones[zone] {
-		n := 0
-		for _, l := range t.lines {
-			if l.weight > 0 && (l.r.doubt || l.r.told) {
-				n += 2
-			} else if l.weight > 0 {
-				n++
+func (g *Governor) bindCost(zone int) (cost int) {
+	for list := zone; list < len(g.zones); list += g.terms.Zones {
+		most := 0
+		for _, t := range g.zones[list] {
+			n := 0
+			for _, l := range t.lines {
+				if l.weight > 0 && (l.r.doubt || l.r.told) {
+					n += 2
+				} else if l.weight > 0 {
+					n++
+				}
 			}
+			most = max(most, n)
 		}
-		most = max(most, n)
-	}
-	if most == 0 {
-		most = 2 * g.longest
+		if most == 0 {
+			most = 2 * g.longest
+		}
+		cost += 2 + most
 	}
-	return 2 + most
+	return cost
 }
 
 // bare tells whether withdrawals may have emptied a standing table: few lines, of its zone if it has three.
@@ -748,21 +768,31 @@
 	return out > 0 && g.count(g.out) < len(g.replicas) && out >= min(g.terms.StandingSize, g.count(near))
 }
 
-// bind puts a proxy on that of its zone's tables that has the least traffic for its open lines.
+// bind puts a proxy on a table of its zone, and for operations that stay there on one more, if not all do.
 func (g *Governor) bind(p *proxy) {
-	if g.zones[p.zone] == nil {
-		g.lay(p.zone)
+	if len(g.zones) == g.terms.Zones {
+		g.put(p, p.zone, 0)
+		return
+	}
+	g.put(p, p.zone, (1<<len(g.terms.Operations)-1)&^g.terms.OwnZone)
+	g.put(p, p.zone+g.terms.Zones, g.terms.OwnZone)
+}
+
+// put binds a proxy to that of a list's tables that has the least traffic for its open lines.
+func (g *Governor) put(p *proxy, list int, operations uint16) {
+	if g.zones[list] == nil {
+		g.lay(list)
 	}
 	load := func(t *table) float64 { return (t.usual + p.usual) / (float64(t.open()) + 0.1) }
-	t := slices.MinFunc(g.zones[p.zone], func(a, b *table) int { return cmp.Compare(load(a), load(b)) })
-	p.table, t.users, t.usual = t, append(t.users, p), t.usual+p.usual
+	t := slices.MinFunc(g.zones[list], func(a, b *table) int { return cmp.Compare(load(a), load(b)) })
+	p.tables, t.users, t.usual = append(p.tables, t), append(t.users, p), t.usual+p.usual
 	var back []fleet.ReplicaID
 	for _, l := range t.lines {
 		if l.weight > 0 && l.r.doubt && !l.r.told {
 			back = append(back, l.r.id)
 		}
 	}
-	g.host.Bind(p.id, t.id, back)
+	g.host.Bind(p.id, t.id, operations, back)
 }
 
 // order sends the asked lines that change, if they fit; none new to what is out: its withdrawal missed it.
@@ -812,8 +842,8 @@
 			g.shutOut(false, 0.5, 3, r)
 		}
 	}
-	for zone := range g.zones {
-		g.fill(zone)
+	for list := range g.zones {
+		g.fill(list)
 	}
 	g.weigh()
 	first := g.turn
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -639,14 +639,14 @@
 	asked  bool
 }
 
-func (h *nullHost) Assign(fleet.TableID, fleet.ReplicaID, float64)       {}
-func (h *nullHost) Bind(fleet.ProxyID, fleet.TableID, []fleet.ReplicaID) {}
-func (h *nullHost) Withdraw(fleet.ReplicaID, bool)                       {}
-func (h *nullHost) Level(uint16, float64, fleet.Way)                     {}
-func (h *nullHost) Receipt(number uint32, _ bool)                        { h.due, h.asked = number, true }
-func (h *nullHost) Wake(fleet.Micros)                                    {}
-func (h *nullHost) Follow()                                              {}
-func (h *nullHost) Log(string)                                           {}
+func (h *nullHost) Assign(fleet.TableID, fleet.ReplicaID, float64)               {}
+func (h *nullHost) Bind(fleet.ProxyID, fleet.TableID, uint16, []fleet.ReplicaID) {}
+func (h *nullHost) Withdraw(fleet.ReplicaID, bool)                               {}
+func (h *nullHost) Level(uint16, float64, fleet.Way)                             {}
+func (h *nullHost) Receipt(number uint32, _ bool)                                { h.due, h.asked = number, true }
+func (h *nullHost) Wake(fleet.Micros)                                            {}
+func (h *nullHost) Follow()                                                      {}
+func (h *nullHost) Log(string)                                                   {}
 
 // BenchmarkStep times a step (a beat, a fifth of a second of the fleet's time) with the sums of all replicas once a
 // second and receipts at once. It tells mean, p99 and the worst of a fleet's first hundred seconds.
@@ -700,3 +700,52 @@
 		})
 	}
 }
+
+// Operations that stay in the proxy's zone have tables of near replicas only; the others keep theirs. Where all stay, there is one table.
+func TestOperationsOfTheirZone(t *testing.T) {
+	for own, keys := range map[uint16][]uint16{0: {0}, 2: {1, 2}, 3: {0}} {
+		h := begin(t, 4, func(x *fleet.Terms) { x.OwnZone, x.ConnsLeast, x.Proxies = own, 200, 2 })
+		for n := 5; n <= 8; n++ {
+			h.g.Listed(h.now, fleet.Change, []fleet.Listing{ready(n, 1)})
+		}
+		h.run(12, h.all(8))
+		for _, p := range h.joined {
+			for _, operations := range keys {
+				table, bound := h.binds[bindKey{p, operations}]
+				failIf(t, !bound, "own %b: proxy %d is not bound for %b: %v", own, p, operations, h.binds)
+				near, far := 0, 0
+				for n := 1; n <= 8; n++ {
+					if weight := h.lines[table][id(n)]; weight > 0 && n <= 4 {
+						near++
+					} else if weight > 0 {
+						far++
+					}
+				}
+				stays := own != 0 && (operations == 0 || operations&own != 0)
+				failIf(t, near != 4 || stays != (far == 0), "own %b: table for %b has %d near lines, %d far ones", own, operations, near, far)
+			}
+		}
+		failIf(t, h.bound[1] != len(keys), "own %b: %d binds", own, h.bound[1])
+		// A drain is told to a proxy once, whichever of its tables has the line.
+		before := h.g.unacked
+		h.acks = false
+		h.drain(1)
+		failIf(t, !h.out[id(1)], "own %b: not withdrawn", own)
+		failIf(t, h.g.unacked-before > len(h.joined)*(6+1+2+1), "own %b: %d lines are charged for one drain", own, h.g.unacked-before)
+	}
+}
+
+// Where an operation stays in the zone, the zone is not left without a replica for resting ones while others have some.
+func TestAZoneOfItsOwnIsNotLeftBare(t *testing.T) {
+	h := begin(t, 2, func(x *fleet.Terms) { x.OwnZone, x.ConnsLeast, x.Proxies = 2, 200, 2 })
+	for n := 3; n <= 12; n++ {
+		h.g.Listed(h.now, fleet.Change, []fleet.Listing{ready(n, 1)})
+	}
+	h.run(12, h.all(12))
+	failing := func() {
+		h.each(1, 2, 10, 10, 0)()
+		h.each(3, 12, 10, 0, 100*fleet.Millisecond)()
+	}
+	h.run(10, failing)
+	failIf(t, h.out[id(1)] && h.out[id(2)], "both replicas of the zone are out")
+}
--- a/decide/host_test.go
+++ b/decide/host_test.go
@@ -18,6 +18,8 @@
 	tables  map[fleet.TableID]int       // lines ordered
 	bound   map[fleet.ProxyID]int       // binds
 	back    map[fleet.ProxyID][]fleet.ReplicaID
+	binds   map[bindKey]fleet.TableID
+	lines   map[fleet.TableID]map[fleet.ReplicaID]float64
 	out     map[fleet.ReplicaID]bool
 	shares  map[uint16]float64
 	ways    map[fleet.Way]bool
@@ -28,6 +30,11 @@
 	due     []receipt // to be acknowledged after Settle
 }
 
+type bindKey struct {
+	proxy      fleet.ProxyID
+	operations uint16
+}
+
 type receipt struct {
 	proxy  fleet.ProxyID
 	number uint32
@@ -39,12 +46,16 @@
 		h.t.Errorf("weight %v", w)
 	}
 	h.tables[t]++
+	if h.lines[t] == nil {
+		h.lines[t] = map[fleet.ReplicaID]float64{}
+	}
+	h.lines[t][r] = w
 	if t == 0 {
 		h.weights[r] = w
 	}
 }
-func (h *fakeHost) Bind(p fleet.ProxyID, t fleet.TableID, back []fleet.ReplicaID) {
-	h.back[p] = back
+func (h *fakeHost) Bind(p fleet.ProxyID, t fleet.TableID, operations uint16, back []fleet.ReplicaID) {
+	h.back[p], h.binds[bindKey{p, operations}] = back, t
 	h.orders = append(h.orders, fmt.Sprint(p, t))
 	h.bound[p]++
 }
@@ -89,7 +100,8 @@
 		change(&terms)
 	}
 	h := &fakeHost{t: t, now: fleet.Second, acks: true, weights: map[fleet.ReplicaID]float64{},
-		tables: map[fleet.TableID]int{}, bound: map[fleet.ProxyID]int{}, back: map[fleet.ProxyID][]fleet.ReplicaID{}, out: map[fleet.ReplicaID]bool{},
+		tables: map[fleet.TableID]int{}, bound: map[fleet.ProxyID]int{}, back: map[fleet.ProxyID][]fleet.ReplicaID{}, binds: map[bindKey]fleet.TableID{},
+		lines: map[fleet.TableID]map[fleet.ReplicaID]float64{}, out: map[fleet.ReplicaID]bool{},
 		shares: map[uint16]float64{}, ways: map[fleet.Way]bool{}}
 	h.g = New(terms, h, h.now)
 	var entries []fleet.Listing
--- a/decide/rules_test.go
+++ b/decide/rules_test.go
@@ -95,7 +95,7 @@
 	}
 }
 
-func (w *world) Bind(p fleet.ProxyID, t fleet.TableID, back []fleet.ReplicaID) {
+func (w *world) Bind(p fleet.ProxyID, t fleet.TableID, _ uint16, back []fleet.ReplicaID) {
 	x := w.proxies[p]
 	if x == nil || !x.joined {
 		w.t.Fatalf("a bind for proxy %d, which is not joined", p)
--- a/decide/state.go
+++ b/decide/state.go
@@ -41,6 +41,8 @@
 type table struct {
 	id    fleet.TableID
 	zone  int
+	list  int     // its place in zones
+	own   bool    // for operations that stay in the zone: it has no far lines
 	width int     // lines that it needs
 	pace  float64 // of the median line, see learn
 	risk  float64 // the same with errors alone
@@ -78,7 +80,7 @@
 	zone, lines int // lines in the reply being written
 	usual       float64
 	state       state
-	table       *table
+	tables      []*table // one, or one more for operations that stay in its zone
 	unacked     []message
 	sent        []fleet.Micros
 }
@@ -206,9 +208,9 @@
 	delete(g.byProxy, p.id)
 	other := func(q *proxy) bool { return q == p }
 	g.proxies = slices.DeleteFunc(g.proxies, other)
-	if p.table != nil {
-		p.table.users = slices.DeleteFunc(p.table.users, other)
-		p.table.usual -= p.usual
+	for _, t := range p.tables {
+		t.users = slices.DeleteFunc(t.users, other)
+		t.usual -= p.usual
 	}
 }
 
@@ -297,8 +299,8 @@
 	}
 	for _, p := range g.proxies {
 		pv := ProxyView{ID: p.id, Zone: p.zone, Usual: p.usual, Table: -1, Unacked: len(p.unacked)}
-		if p.table != nil {
-			pv.Table = int(p.table.id)
+		if len(p.tables) > 0 {
+			pv.Table = int(p.tables[0].id)
 		}
 		if len(p.unacked) > 0 {
 			pv.Oldest = p.unacked[0].at
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -61,6 +61,7 @@
 	Cold         Micros  // within which a started replica is warm
 	Proxies      int     // of all governors
 	ConnsLeast   int     // connections that the smallest replica accepts
+	OwnZone      uint16  // operations, by 1 << their place, that go to replicas of the proxy's zone only
 }
 
 // Life is what the list says of a replica.
@@ -105,9 +106,9 @@
 // message for each proxy concerned.
 type Host interface {
 	Assign(t TableID, r ReplicaID, weight float64) // one table line; 0 removes it
-	// Bind puts a proxy on a table for all operations. Other governors may have shut out those of back, and not let them in again: where
+	// Bind puts a proxy on a table for some operations, by 1 << their place, or for all (0). Other governors may have shut out those of back, and not let them in again: where
 	// that outlasts a bind, the proxy is told with it.
-	Bind(p ProxyID, t TableID, back []ReplicaID)
+	Bind(p ProxyID, t TableID, operations uint16, back []ReplicaID)
 	Withdraw(r ReplicaID, out bool)                // shut a replica out of every table, or let it back
 	Level(operations uint16, share float64, w Way) // what all joined proxies let in and when they try again
 	Receipt(number uint32, all bool)               // ask the proxies reached for an answer, or all joined
--- a/governor/governor.go
+++ b/governor/governor.go
@@ -272,8 +272,8 @@
 }
 
 // Bind is an order of the module, see fleet.Host.
-func (h *Host) Bind(p fleet.ProxyID, t fleet.TableID, back []fleet.ReplicaID) {
-	h.order(board.Order{What: board.Bind, Proxy: p, Table: t, Back: back})
+func (h *Host) Bind(p fleet.ProxyID, t fleet.TableID, operations uint16, back []fleet.ReplicaID) {
+	h.order(board.Order{What: board.Bind, Proxy: p, Table: t, Operations: operations, Back: back})
 }
 
 // Withdraw is an order of the module, see fleet.Host.
--- a/platformwire/platformwire.go
+++ b/platformwire/platformwire.go
@@ -11,6 +11,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -215,18 +216,26 @@
 type Update struct {
 	Whole     bool // Lines are the whole table, and levels are forgotten
 	Lines     []Line
+	Parts     []Part // tables for some operations each
 	Levels    []Level
 	Out, Back []string
 	Ticket    int // to be answered; -1: none
 }
 
+// Part is a table, or a change of it, for some operations.
+type Part struct {
+	Operations []string
+	Whole      bool
+	Lines      []Line
+}
+
 // lineMost bounds a part's lists: a part of a message is far below the 1 MiB that fits.
 const lineMost = 2000
 
-// Append writes an update in as many parts as its levels need: a level is meant for the part's operations, and so is its table.
+// Append writes an update in as many parts as its tables and levels need: a level is meant for the part's operations, and so is its table.
 // Errors are lists that do not fit.
 func (u *Update) Append(b []byte) ([]byte, error) {
-	if len(u.Lines) > lineMost || len(u.Out) > lineMost || len(u.Back) > lineMost || len(u.Levels) > 32 {
+	if slices.ContainsFunc(u.Parts, func(p Part) bool { return len(p.Lines) > lineMost }) || len(u.Parts) > 2 || len(u.Lines) > lineMost || len(u.Out) > lineMost || len(u.Back) > lineMost || len(u.Levels) > 32 {
 		return b, fmt.Errorf("update: %d lines, %d out, %d back and %d levels do not fit a message", len(u.Lines), len(u.Out), len(u.Back), len(u.Levels))
 	}
 	var parts [][]string
@@ -246,6 +255,16 @@
 	if len(first) > 0 {
 		parts = append(parts, first)
 	}
+	for _, p := range u.Parts {
+		part := []string{"classes", strings.Join(p.Operations, "+")}
+		if p.Whole {
+			part = append(part, "whole", "1")
+		}
+		if len(p.Lines) > 0 {
+			part = append(part, "lines", pairs(p.Lines))
+		}
+		parts = append(parts, part)
+	}
 	for _, l := range u.Levels {
 		part := []string{"level", number(l.Share), "retry", strconv.Itoa(int(l.Way))}
 		if l.Operation != "" {
--- a/simwire/simwire.go
+++ b/simwire/simwire.go
@@ -200,10 +200,11 @@
 	putReplica(rec[7:], id)
 }
 
-func (r *Reply) Bind(p fleet.ProxyID, t fleet.TableID, _ []fleet.ReplicaID) {
+func (r *Reply) Bind(p fleet.ProxyID, t fleet.TableID, operations uint16, _ []fleet.ReplicaID) {
 	rec := r.record(14)
 	le.PutUint16(rec[1:], uint16(p))
 	le.PutUint16(rec[3:], uint16(t))
+	le.PutUint16(rec[5:], operations)
 }
 
 func (r *Reply) Withdraw(id fleet.ReplicaID, out bool) {
--- a/simwire/simwire_test.go
+++ b/simwire/simwire_test.go
@@ -87,6 +87,11 @@
 	one, all := &Reply{}, &Reply{}
 	one.Assign(7, fleet.ReplicaID{Addr: [4]byte{1, 2, 3, 4}, Port: 5}, 0.5)
 	one.Log("hi")
+	two := &Reply{}
+	two.Bind(258, 3, 6, nil)
+	if rec := two.Frame(1)[12:]; !bytes.Equal(rec[:7], []byte{14, 2, 1, 3, 0, 6, 0}) {
+		t.Fatalf("a bind for some operations: % x", rec[:7])
+	}
 	all.Log("first")
 	all.OnBehalf(3)
 	all.Append(one)
@@ -116,7 +121,12 @@
 	if rate, _ := Terms(1, []byte(strings.Replace(good, "ratio", "rps", 1))); rate.Admits || rate.AdmitAll < 1e9 {
 		t.Fatal("where quotas are rates, 1 would let in one invocation a second")
 	}
+	own := strings.Replace(good, `"unknown":[1]`, `"class_own_zone":[true]`, 1)
+	if terms, err := Terms(1, []byte(own)); err != nil || terms.OwnZone != 1 {
+		t.Fatalf("an operation that stays in its zone: %+v, %v", terms, err)
+	}
 	for name, change := range map[string][2]string{
+		"more own zones than classes": {`"unknown":[1]`, `"class_own_zone":[false,true]`}, "a period of years": {`"period":1000`, `"period":1e300`},
 		"no text": {good, ""}, "no classes": {`"classes"`, `"lasses"`}, "no objective": {"500", "0"},
 		"a period below 0": {`"period":1000`, `"period":-1`}, "no queue": {"6000", "0"},
 		"no zones": {`["a","b"]`, "[]"}, "slices": {`"unknown":[1]`, `"slices":4`},
--- a/simwire/terms.go
+++ b/simwire/terms.go
@@ -20,16 +20,16 @@
 	Extra struct {
 		Admission    string  `json:"admission"`
 		OwnZone      []bool  `json:"class_own_zone"`
-		DefaultSize  int     `json:"default_size"`
-		Ejects       int     `json:"fails_to_eject"`
+		DefaultSize  float64 `json:"default_size"`
+		Ejects       float64 `json:"fails_to_eject"`
 		Period       float64 `json:"period"`
 		Overhead     float64 `json:"overhead"`
 		PendingMax   float64 `json:"pending_max"`
-		MessagesMost int     `json:"reloads_max"`
+		MessagesMost float64 `json:"reloads_max"`
 		MessagesSpan float64 `json:"reload_span"`
-		Slices       int     `json:"slices"`
+		Slices       float64 `json:"slices"`
 		PushPrice    float64 `json:"push_price"`
-		Proxies      int     `json:"proxies"`
+		Proxies      float64 `json:"proxies"`
 		ConnsLeast   float64 `json:"smallest_conn_table"`
 	} `json:"extra"`
 	Guarantees struct {
@@ -44,6 +44,9 @@
 	} `json:"prices"`
 }
 
+// figureMost bounds every figure: a span of 11 days, or as many lines. Beyond it is a slip, and sums of them would not fit their types.
+const figureMost = 1e9
+
 func micros(ms float64) fleet.Micros { return fleet.Micros(math.Round(ms * 1000)) }
 
 // Terms decodes the start settings; keys that it does not know are skipped.
@@ -58,8 +61,10 @@
 		return fleet.Terms{}, fmt.Errorf("start settings: %d classes, 1 to 16 are handled", len(o.Classes))
 	case len(o.Zones) == 0:
 		return fleet.Terms{}, errors.New("start settings: no zones")
-	case x.Slices != 0 || slices.Contains(x.OwnZone, true):
-		return fleet.Terms{}, errors.New("start settings: slices and classes bound to a zone are not handled")
+	case x.Slices != 0:
+		return fleet.Terms{}, errors.New("start settings: slices are not handled")
+	case len(x.OwnZone) > len(o.Classes):
+		return fleet.Terms{}, fmt.Errorf("start settings: class_own_zone names %d classes of %d", len(x.OwnZone), len(o.Classes))
 	case x.Period <= 0 || x.PendingMax <= 0:
 		return fleet.Terms{}, errors.New("start settings: period and pending_max must be above 0")
 	case x.MessagesMost > 0 && x.MessagesSpan <= 0:
@@ -67,12 +72,19 @@
 	case o.Guarantees.Cold < 0 || o.Prices.CrossZone < 0 || x.Overhead < 0:
 		return fleet.Terms{}, errors.New("start settings: a cold time, price or overhead is below 0")
 	}
+	for name, figure := range map[string]float64{"extra.period": x.Period, "extra.pending_max": x.PendingMax, "extra.reload_span": x.MessagesSpan,
+		"extra.overhead": x.Overhead, "extra.push_price": x.PushPrice, "extra.smallest_conn_table": x.ConnsLeast, "guarantees.cold": o.Guarantees.Cold,
+		"prices.cross_zone": o.Prices.CrossZone, "extra.proxies": x.Proxies, "extra.default_size": x.DefaultSize, "extra.reloads_max": x.MessagesMost} {
+		if figure < 0 || figure > figureMost {
+			return fleet.Terms{}, fmt.Errorf("start settings: %s is %g, 0 to %g is handled", name, figure, figureMost)
+		}
+	}
 	t := fleet.Terms{
-		Seed: seed, Proxies: x.Proxies, ConnsLeast: int(x.ConnsLeast),
+		Seed: seed, Proxies: int(x.Proxies), ConnsLeast: int(x.ConnsLeast),
 		Zones: len(o.Zones), Subscribe: o.Membership == "subscribe", Admits: x.Admission == "ratio",
-		AdmitAll: 1, Avoids: x.Ejects > 0, StandingSize: x.DefaultSize, Period: micros(x.Period),
+		AdmitAll: 1, Avoids: x.Ejects > 0, StandingSize: int(x.DefaultSize), Period: micros(x.Period),
 		Overhead: int(math.Ceil(x.Overhead)), QueueMost: int(x.PendingMax),
-		MessagesMost: x.MessagesMost, MessagesSpan: micros(x.MessagesSpan),
+		MessagesMost: int(x.MessagesMost), MessagesSpan: micros(x.MessagesSpan),
 		CrossPrice: o.Prices.CrossZone, PushPrice: x.PushPrice, BusyField: -1, Cold: micros(o.Guarantees.Cold),
 	}
 	if x.Admission == "rps" {
@@ -81,9 +93,14 @@
 	if o.Stats.How == "piggyback" {
 		t.BusyField = slices.Index(o.Stats.Fields, "cpu_share")
 	}
+	for i, own := range x.OwnZone {
+		if own {
+			t.OwnZone |= 1 << i
+		}
+	}
 	for i, c := range o.Classes {
-		if !(c.Objective > 0) || c.Value < 0 {
-			return fleet.Terms{}, fmt.Errorf("start settings: class %d has no on_time above 0, or a credit below", i)
+		if !(c.Objective > 0) || c.Objective > figureMost || c.Value < 0 || c.Value > figureMost {
+			return fleet.Terms{}, fmt.Errorf("start settings: class %d has no on_time above 0, or a credit below; %g at most", i, figureMost)
 		}
 		t.Operations = append(t.Operations, fleet.Operation{Objective: micros(c.Objective), Value: c.Value})
 	}
--- a/site/reload_test.go
+++ b/site/reload_test.go
@@ -90,7 +90,7 @@
 		v.Set(reflect.New(v.Type().Elem()))
 	case reflect.Bool:
 		v.SetBool(true)
-	case reflect.Uint8, reflect.Uint64:
+	case reflect.Uint8, reflect.Uint16, reflect.Uint64:
 		v.SetUint(1)
 	default:
 		v.SetInt(1)
