--- a/sockets/sockets.go
+++ b/sockets/sockets.go
@@ -164,6 +164,10 @@
 // returns, which is when something else happens.
 func (e *Engine) End(c *nbio.Conn) { e.on(c).post(func() { _ = c.Close() }) }
 
+// Between has f run on the first poller's goroutine, between two of its rounds: after what could be read there when it was called. It
+// tells false once the engine has stopped.
+func (e *Engine) Between(f func()) bool { return e.loops[0].post(f) }
+
 // on is the loop of a connection's poller.
 func (e *Engine) on(c *nbio.Conn) *loop { return e.loops[c.Hash()%len(e.loops)] }
 
