--- a/decide/decide.go
+++ b/decide/decide.go
@@ -663,11 +663,11 @@
 		}
 		switch again := r.told && g.loose > 0 && r.toldAt <= g.joinedAt; {
 		case !g.out(r) || r.told && !again:
-		case r.member():
+		case r.member() && (g.beaten || !again): // those who come at one time are told again together
 			waits[2] = append(waits[2], r)
-		case again:
+		case again && !r.member():
 			waits[1] = append(waits[1], r)
-		default:
+		case !r.member():
 			waits[0] = append(waits[0], r)
 		}
 	}
@@ -686,7 +686,7 @@
 	if g.blocked = false; g.rush {
 		waits = [3][]*replica{}
 	} else if !g.beaten {
-		waits[1] = nil // those who come at one time are told together
+		waits[1] = nil
 	}
 	for i, most := range []float64{urgent, urgent, 0.7} {
 		size := 1
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -749,3 +749,23 @@
 	h.run(10, failing)
 	failIf(t, h.out[id(1)] && h.out[id(2)], "both replicas of the zone are out")
 }
+
+// Who joins between two beats is told what was withdrawn before with the next beat, all together: not everybody again for each of them.
+func TestJoinersAreToldTogether(t *testing.T) {
+	h := begin(t, 12, func(x *fleet.Terms) { x.QueueMost = 100000 })
+	h.change(fleet.Ready, h.now, 1) // cold, and the gate is shut: held out
+	h.drain(2)
+	failIf(t, !h.out[id(1)] || !h.out[id(2)], "not withdrawn: %v", h.out)
+	h.orders = nil
+	for p := range fleet.ProxyID(10) {
+		h.join(p + 3)
+		h.settle()
+	}
+	failIf(t, len(h.orders) > 0, "between beats: %v", h.orders)
+	h.run(1, nil)
+	told := map[string]int{}
+	for _, o := range h.orders {
+		told[o]++
+	}
+	failIf(t, told[fmt.Sprint(id(1), true)] != 1 || told[fmt.Sprint(id(2), true)] != 1, "on the beat: %v", told)
+}
