A bind's cost is reckoned once a zone and reply, not for each proxy that waits

Seen on reading: bindCost looked at all lines of a zone's tables for each loose proxy, twice a reply: at 2,400 of them some hundred thousand looks. Change: reckoned once, anew where a zone is laid. Orders are the same.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -67,6 +67,7 @@
 	byProxy                         map[fleet.ProxyID]*proxy
 	tables                          []*table
 	zones                           [][]*table // the same by zone, then those for operations that stay in it
+	costs                           []int      // of a bind by zone, in this reply; 0: not known
 	width, longest, turn            int        // lines wanted and most lines of a table; the next first one
 	due                             []dueTime
 	unacked, aged, receipt, chances int       // aged: see weighQueue
@@ -88,7 +89,8 @@
 	window := min(3*t.Period, 10*fleet.Second)
 	g := &Governor{terms: t, host: host, now: now, foldedAt: now, gate: shut, way: fleet.WhenUnrun,
 		byID: map[fleet.ReplicaID]*replica{}, byProxy: map[fleet.ProxyID]*proxy{},
-		told: make([]float64, len(t.Operations)), zones: make([][]*table, t.Zones)}
+		told: make([]float64, len(t.Operations)), zones: make([][]*table, t.Zones),
+		costs: make([]int, t.Zones)}
 	if t.OwnZone != 0 && t.OwnZone != 1<<len(t.Operations)-1 {
 		g.zones = make([][]*table, 2*t.Zones)
 	}
@@ -500,6 +502,7 @@
 		t.own = g.terms.OwnZone != 0 && list >= len(g.zones)-g.terms.Zones
 		g.tables, g.zones[list] = append(g.tables, t), append(g.zones[list], t)
 	}
+	clear(g.costs)
 	g.fill(list)
 	g.weigh()
 	for _, t := range g.zones[list] {
@@ -559,9 +562,10 @@
 	g.now = now
 	if g.beaten || g.changed {
 		g.weighQueue()
+		clear(g.costs)
 		g.bindTurn()
 		g.withdraw()
-		g.clear()
+		g.takeOut()
 		g.solve()
 		g.beaten, g.changed = false, false
 	}
@@ -672,7 +676,7 @@
 		}
 	}
 	// A bind tells all that is out too, for less where few are loose or much is to be told: then withdrawals wait for
-	// the binds, and lines that must go leave the tables first (clear). Not where a loose proxy can take no message.
+	// the binds, and lines that must go leave the tables first (takeOut). Not where a loose proxy can take no message.
 	again, parts := len(waits[1]), (len(waits[0])+head-1)/head
 	binds, full := 0, false
 	for _, p := range g.proxies {
@@ -702,9 +706,9 @@
 	}
 }
 
-// clear takes lines that proxies must not pick out of the tables while binds carry the withdrawals: who is bound
+// takeOut takes lines that proxies must not pick out of the tables while binds carry the withdrawals: who is bound
 // already is told so, and a bind has less to tell. Binds come first: who is loose has waited longer.
-func (g *Governor) clear() {
+func (g *Governor) takeOut() {
 	for _, t := range g.tables {
 		if g.rush {
 			g.order(t, urgent, 1, func(l *line) bool { return l.weight > 0 && !l.r.member() })
@@ -737,6 +741,10 @@
 // bindCost is what a bind in a zone costs beyond its head at most: each line of a table, and as much for each whose
 // replica is out, or is told back as others may have shut it out.
 func (g *Governor) bindCost(zone int) (cost int) {
+	if g.costs[zone] > 0 {
+		return g.costs[zone]
+	}
+	defer func() { g.costs[zone] = cost }()
 	for list := zone; list < len(g.zones); list += g.terms.Zones {
 		most := 0
 		for _, t := range g.zones[list] {
