A bind tells back all its lines again, but where binds carry drains

Ruled out by it: the times of silence, the discovery's. Change: only a rush of binds tells back less; both costs are reckoned.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -67,7 +67,7 @@
 	byProxy                         map[fleet.ProxyID]*proxy
 	tables                          []*table
 	zones                           [][]*table // the same by zone, then those for operations that stay in it
-	costs                           []int      // of a bind by zone, in this reply; 0: not known
+	costs                           []int      // of binds by zone, then in a rush; 0: not known
 	width, longest, turn            int        // lines wanted and most lines of a table; the next first one
 	due                             []dueTime
 	unacked, aged, receipt, chances int       // aged: see weighQueue
@@ -90,7 +90,7 @@
 	g := &Governor{terms: t, host: host, now: now, foldedAt: now, gate: shut, way: fleet.WhenUnrun,
 		byID: map[fleet.ReplicaID]*replica{}, byProxy: map[fleet.ProxyID]*proxy{},
 		told: make([]float64, len(t.Operations)), zones: make([][]*table, t.Zones),
-		costs: make([]int, t.Zones)}
+		costs: make([]int, 2*t.Zones)}
 	if t.OwnZone != 0 && t.OwnZone != 1<<len(t.Operations)-1 {
 		g.zones = make([][]*table, 2*t.Zones)
 	}
@@ -510,8 +510,8 @@
 	}
 }
 
-// fill gives a zone's shortest table one more line, until all have enough and each near replica is in one. Tables
-// for operations that stay in the zone have near ones only.
+// fill gives a zone's shortest table one more line, until all have enough and each near replica is in one.
+// Tables for operations that stay in the zone have near ones only.
 // Those with the fewest lines in the zone come first, near ones before others, then the fewest in all.
 func (g *Governor) fill(list int) {
 	zone := list % g.terms.Zones
@@ -675,13 +675,13 @@
 			waits[0] = append(waits[0], r)
 		}
 	}
-	// A bind tells all that is out too, for less where few are loose or much is to be told: then withdrawals wait for
-	// the binds, and lines that must go leave the tables first (takeOut). Not where a loose proxy can take no message.
+	// A bind tells all that is out too, for less where few are loose or much is to be told: then withdrawals
+	// wait for the binds, and dead lines leave the tables (takeOut). Not where a loose proxy can take no message.
 	again, parts := len(waits[1]), (len(waits[0])+head-1)/head
 	binds, full := 0, false
 	for _, p := range g.proxies {
 		if p.state == loose {
-			binds += head + g.bindCost(p.zone)
+			binds += head + g.bindCost(p.zone, true)
 			full = full || g.terms.MessagesMost > 0 && len(p.sent)+2 >= g.terms.MessagesMost
 		}
 	}
@@ -724,7 +724,7 @@
 	}
 	g.loose = 0
 	for _, p := range g.proxies {
-		switch one, lines := []*proxy{p}, g.bindCost(p.zone); {
+		switch one, lines := []*proxy{p}, g.bindCost(p.zone, g.rush); {
 		case p.state != loose:
 		case risk[p.zone] && g.pay(one, lines, urgent, 1):
 			apply(g, proxyMoves, &p.state, atRisk, p)
@@ -739,18 +739,22 @@
 }
 
 // bindCost is what a bind in a zone costs beyond its head at most: each line of a table, and as much for each whose
-// replica is out, or is told back as others may have shut it out.
-func (g *Governor) bindCost(zone int) (cost int) {
-	if g.costs[zone] > 0 {
-		return g.costs[zone]
+// replica is out or told back: in a rush only of those that others may have shut out, as far as known here.
+func (g *Governor) bindCost(zone int, rush bool) (cost int) {
+	known := &g.costs[zone]
+	if rush {
+		known = &g.costs[zone+g.terms.Zones]
 	}
-	defer func() { g.costs[zone] = cost }()
+	if *known > 0 {
+		return *known
+	}
+	defer func() { *known = cost }()
 	for list := zone; list < len(g.zones); list += g.terms.Zones {
 		most := 0
 		for _, t := range g.zones[list] {
 			n := 0
 			for _, l := range t.lines {
-				if l.weight > 0 && (l.r.doubt || l.r.told) {
+				if l.weight > 0 && (l.r.doubt || l.r.told || !rush) {
 					n += 2
 				} else if l.weight > 0 {
 					n++
@@ -796,7 +800,7 @@
 	p.tables, t.users, t.usual = append(p.tables, t), append(t.users, p), t.usual+p.usual
 	var back []fleet.ReplicaID
 	for _, l := range t.lines {
-		if l.weight > 0 && l.r.doubt && !l.r.told {
+		if l.weight > 0 && !l.r.told && (l.r.doubt || !g.rush) {
 			back = append(back, l.r.id)
 		}
 	}
