--- a/board/board.go
+++ b/board/board.go
@@ -283,14 +283,8 @@
 	if d.levels {
 		m.Levels = slices.Clone(b.Levels)
 	}
+	m.Lines = h.Table.changed(d.lines)
 	seen := map[fleet.ReplicaID]bool{}
-	for _, r := range d.lines {
-		if !seen[r] {
-			seen[r] = true
-			m.Lines = append(m.Lines, tablewire.Line{Replica: r, Weight: h.Table.weight(r)})
-		}
-	}
-	clear(seen)
 	for _, r := range d.shuts {
 		if !seen[r] {
 			seen[r] = true
@@ -320,13 +314,8 @@
 	if d.bind {
 		home.Lines = slices.Clone(h.Home.Lines)
 		m.Cost++
-	}
-	seen := map[fleet.ReplicaID]bool{}
-	for _, r := range d.home {
-		if !d.bind && !seen[r] {
-			seen[r] = true
-			home.Lines = append(home.Lines, tablewire.Line{Replica: r, Weight: h.Home.weight(r)})
-		}
+	} else {
+		home.Lines = h.Home.changed(d.home)
 	}
 	if m.Cost += len(home.Lines); home.Whole || len(home.Lines) > 0 {
 		all = append(all, home)
@@ -334,6 +323,18 @@
 	return all
 }
 
+// changed gives lines as they stand, each once, in the order of their first change.
+func (t *Table) changed(replicas []fleet.ReplicaID) (lines []tablewire.Line) {
+	seen := map[fleet.ReplicaID]bool{}
+	for _, r := range replicas {
+		if !seen[r] {
+			seen[r] = true
+			lines = append(lines, tablewire.Line{Replica: r, Weight: t.weight(r)})
+		}
+	}
+	return lines
+}
+
 func (t *Table) has(r fleet.ReplicaID) bool { _, there := t.at[r]; return there }
 
 func (t *Table) weight(r fleet.ReplicaID) float64 {
--- a/roster/crossing_test.go
+++ b/roster/crossing_test.go
@@ -222,12 +222,7 @@
 func TestThereAndBack(t *testing.T) {
 	t.Parallel()
 	d, other := openDesk(t), openDesk(t)
-	n := make(news, 100)
-	w, err := NewWatch(Discovery{Address: other.l.Addr().String(), Zones: zones, Names: platformwire.NewNames(), Log: zerolog.Nop()}, n)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(w.Close)
+	w, n := unasked(t, other, nil)
 	w.Move(d.l.Addr().String())
 	d.none(100 * time.Millisecond)
 	w.Follow()
--- a/roster/watch.go
+++ b/roster/watch.go
@@ -224,16 +224,15 @@
 
 // look is one call, and the watch that it leads to.
 type look struct {
-	watch   *Watch
-	address string
-	parser  *httpwire.Parser
-	line    []byte
-	once    sync.Once
-	ended   chan error
-	began   time.Time
-	err     error // why it ended; nil: moved, or closed
-	closed  bool
-	mute    bool // it ended for want of any answer, or of a connection
+	watch  *Watch
+	parser *httpwire.Parser
+	line   []byte
+	once   sync.Once
+	ended  chan error
+	began  time.Time
+	err    error // why it ended; nil: moved, or closed
+	closed bool
+	mute   bool // it ended for want of any answer, or of a connection
 
 	mu     sync.Mutex
 	conn   *nbio.Conn
@@ -344,7 +343,7 @@
 	address, version := w.address, w.version
 	w.mu.Unlock()
 	now := time.Now()
-	l := &look{watch: w, address: address, ended: make(chan error, 1), began: now, last: now}
+	l := &look{watch: w, ended: make(chan error, 1), began: now, last: now}
 	l.parser = httpwire.NewParser(true, httpwire.Bounds{})
 	l.parser.Stream = l.part
 	request := httpwire.AppendRequest(nil, "GET", "/v1/endpoints?follow=1&since="+strconv.FormatUint(version, 10), address, nil,
--- a/roster/watch_test.go
+++ b/roster/watch_test.go
@@ -81,14 +81,21 @@
 	}
 }
 
+// watch follows a desk.
 func watch(t *testing.T, d *desk, known *platformwire.List) (*Watch, news) {
+	w, n := unasked(t, d, known)
+	w.Follow()
+	return w, n
+}
+
+// unasked is a watch that nobody has asked to follow yet.
+func unasked(t *testing.T, d *desk, known *platformwire.List) (*Watch, news) {
 	n := make(news, 100)
 	w, err := NewWatch(Discovery{Address: d.l.Addr().String(), Zones: zones, Names: platformwire.NewNames(), Known: known, Log: zerolog.Nop()}, n)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(w.Close)
-	w.Follow()
 	return w, n
 }
 
