review: a bind on the platform loses readmissions of the same step (case 2)

Cause: a newly bound proxy gets a full message without the readmissions that came in the same step. A full table lifts withdrawals on the publish-subscribe channel, but not on the platform, and nothing sends `back` later.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -50,6 +50,7 @@
 
 var cases = map[string]func(*world) bool{
 	"watch-end": caseWatchEnd,
+	"shut-out":  caseShutOut,
 }
 
 func main() {
