review: no member holds a lease once span was raised in all files (case 3)

Cause: the digest of the settings is agreed on once in a cluster's life, so members that were all restarted with other, equal values exclude themselves for good.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -51,6 +51,7 @@
 var cases = map[string]func(*world) bool{
 	"watch-end": caseWatchEnd,
 	"shut-out":  caseShutOut,
+	"span":      caseSpan,
 }
 
 func main() {
