review: a release spends the messages that its last drains need (case 2)

Cause: where the messages to a proxy are limited, each drain takes a message of its own and weights go on meanwhile, so the last drains of a quick release wait until older messages no longer count.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -7,4 +7,4 @@
   echo "build first: the build line of deploy/balancer.toml, then review/build.sh" >&2
   exit 2
 fi
-exec timeout --signal=KILL 118 "$standin" -root "$root" -record "$folder/record.txt" shut-out
+exec timeout --signal=KILL 118 "$standin" -root "$root" -record "$folder/record.txt" budget
--- a/review/standin/discovery.go
+++ b/review/standin/discovery.go
@@ -47,6 +47,7 @@
 	endsAtOne bool                 // a watch ends right after its first object
 	told      map[string]time.Time // newest time a host's newest change was written to a watch
 	listedAt  map[string]time.Time // when a host's newest change was listed
+	drained   map[string]time.Time // when a draining or removed host was told to drain
 }
 
 type watch struct {
@@ -64,7 +65,7 @@
 	d := &discovery{
 		w: w, listener: listener, address: listener.Addr().String(), seq: 40, hosts: map[string]host{},
 		changed: map[string]uint64{}, watches: map[*watch]bool{}, told: map[string]time.Time{},
-		listedAt: map[string]time.Time{},
+		listedAt: map[string]time.Time{}, drained: map[string]time.Time{},
 	}
 	for _, h := range hosts {
 		d.hosts[h.Host] = h
@@ -196,6 +197,12 @@
 	content := d.since(watched.sent)
 	for _, h := range content.Hosts {
 		d.told[h.Host] = time.Now()
+		switch h.Health {
+		case "ready":
+			delete(d.drained, h.Host)
+		case "draining":
+			d.drained[h.Host] = time.Now()
+		}
 	}
 	d.w.logf("discovery: watch %d gets version %d with %d entries", watched.number, content.Seq, len(content.Hosts))
 	watched.sent = d.seq
@@ -242,3 +249,10 @@
 	d.endsAtOne = ends
 	d.mu.Unlock()
 }
+
+// drainedAt returns when the instance was told that a host drains; zero if it was not.
+func (d *discovery) drainedAt(name string) time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.drained[name]
+}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -52,6 +52,7 @@
 	"watch-end": caseWatchEnd,
 	"shut-out":  caseShutOut,
 	"span":      caseSpan,
+	"budget":    caseBudget,
 }
 
 func main() {
--- a/review/standin/proxy.go
+++ b/review/standin/proxy.go
@@ -45,6 +45,8 @@
 	away     bool
 	bareFrom map[string]time.Time
 	requests map[string]int
+	messages []time.Time // messages of this stream
+	most     int         // messages within 10 s, at most
 }
 
 func newFleet(w *world, classes []string, transit, period time.Duration) *fleet {
@@ -87,6 +89,7 @@
 	}
 	p.joinedAt = time.Now()
 	p.away = false
+	p.messages = nil
 	shut := keys(p.out)
 	p.mu.Unlock()
 	p.f.w.logf("proxy %d joins, new %s, shut out: %v", p.id, fresh, shut)
@@ -170,11 +173,27 @@
 			texts = append(texts, strings.Join(part, " "))
 		}
 		p.f.w.logf("proxy %d gets: %s", p.id, strings.Join(texts, " | "))
+		p.countMessage()
 		queue <- arrived{parts, time.Now()}
 		parts = nil
 	}
 }
 
+// countMessage counts the messages of this stream within 10 s.
+func (p *proxy) countMessage() {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.messages = append(p.messages, now)
+	within := 0
+	for _, at := range p.messages {
+		if now.Sub(at) < 10*time.Second {
+			within++
+		}
+	}
+	p.most = max(p.most, within)
+}
+
 // apply puts one part of an update in force and returns its ticket; p.mu is held.
 func (p *proxy) apply(part []string) (ticket string) {
 	fields := map[string]string{}
--- a/review/standin/settings.go
+++ b/review/standin/settings.go
@@ -39,6 +39,31 @@
 	}
 }
 
+// manila returns settings of manila-core as its brief and its site file give them.
+func manila(proxies int) *deployment {
+	d := glasgow(proxies)
+	d.zones = []string{"makati", "ortigas", "diliman"}
+	d.classes = []map[string]any{
+		{"credit": 1.0, "effect": "idempotent", "give_up": 1500.0, "group": "all", "late_value": 0.2, "name": "balance-lookup",
+			"on_time": 600.0, "window": 5000.0},
+		{"credit": 3.0, "effect": "at_most_once", "give_up": 2000.0, "group": "all", "late_value": 0.2, "name": "payment-post",
+			"on_time": 600.0, "window": 5000.0},
+	}
+	for key, value := range map[string]any{
+		"admission": "silent", "base_mode": 0, "default_size": 8, "fails_to_eject": 5, "first_wait": 1.0, "overhead": 4.0,
+		"local_first": false, "ingest_rate": 600.0, "pending_max": 3700.0, "push_rate": 3700.0, "push_price": 0.08,
+		"push_delay_max": 370.0, "reloads_max": 12, "reload_span": 10000.0, "selects_by": "lottery",
+		"smallest_conn_table": 260.0,
+	} {
+		d.extra[key] = value
+	}
+	d.rules["tip_multiple"] = 2.5
+	d.rules["fall"] = 2000.0
+	d.rules["stop_sending_within"] = 1500.0
+	d.crossing = 0.01
+	return d
+}
+
 // config returns the configuration file of one instance.
 func (d *deployment) config(name, listen, discovery string, known list) string {
 	settings := map[string]any{
