--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -49,10 +49,11 @@
 type notRun struct{}
 
 var cases = map[string]func(*world) bool{
-	"watch-end": caseWatchEnd,
-	"shut-out":  caseShutOut,
-	"span":      caseSpan,
-	"budget":    caseBudget,
+	"watch-end":    caseWatchEnd,
+	"shut-out":     caseShutOut,
+	"shut-out-new": caseShutOutNew,
+	"span":         caseSpan,
+	"budget":       caseBudget,
 }
 
 func main() {
