--- a/review/standin/proxy.go
+++ b/review/standin/proxy.go
@@ -24,6 +24,7 @@
 
 	mu     sync.Mutex
 	met    map[string]map[string]int // attempts since the last report, by site and replica
+	second map[string]int            // attempts since the last line of the record, by replica
 	onSend func(p *proxy, class, replica string, at time.Time)
 	onTick func(p *proxy, at time.Time)
 }
@@ -52,7 +53,7 @@
 func newFleet(w *world, classes []string, transit, period time.Duration) *fleet {
 	return &fleet{
 		w: w, classes: classes, transit: transit, period: period, done: make(chan struct{}),
-		met: map[string]map[string]int{},
+		met: map[string]map[string]int{}, second: map[string]int{},
 	}
 }
 
@@ -273,6 +274,31 @@
 		f.wait.Add(1)
 		go f.collect(address, site)
 	}
+	f.wait.Add(1)
+	go f.recordAttempts()
+}
+
+// recordAttempts writes each second's attempts to the record. The replicas of this stand-in run and answer each attempt.
+func (f *fleet) recordAttempts() {
+	defer f.wait.Done()
+	ticker := time.NewTicker(time.Second)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-f.done:
+			return
+		case <-ticker.C:
+		}
+		f.mu.Lock()
+		second := f.second
+		f.second = map[string]int{}
+		f.mu.Unlock()
+		var texts []string
+		for _, replica := range keys(second) {
+			texts = append(texts, fmt.Sprintf("%s %d", replica, second[replica]))
+		}
+		f.w.logf("attempts sent, run and answered in this second: %s", strings.Join(texts, ", "))
+	}
 }
 
 // send sends the proxy's requests, and its usage messages each period.
@@ -302,14 +328,17 @@
 			if p.f.onSend != nil {
 				p.f.onSend(p, class, replica, now)
 			}
+			p.f.mu.Lock()
 			if replica == "" {
+				p.f.second["(nothing to pick)"]++
+				p.f.mu.Unlock()
 				continue
 			}
-			p.f.mu.Lock()
 			if p.f.met[p.site] == nil {
 				p.f.met[p.site] = map[string]int{}
 			}
 			p.f.met[p.site][replica]++
+			p.f.second[replica]++
 			p.f.mu.Unlock()
 		}
 		if p.f.onTick != nil {
