--- a/review/standin/case_budget.go
+++ b/review/standin/case_budget.go
@@ -38,6 +38,8 @@
 	g := w.startGovernor("n0", listen, lists.address, d.config("n0", listen, lists.address, lists.known()))
 	defer g.end()
 	f := newFleet(w, []string{"balance-lookup", "payment-post"}, 200*time.Millisecond, time.Second)
+	f.refuses, f.reading = lists.isGone, "busy_reqs:1"
+	f.avoidAfter, f.avoidFor = 5, 5*time.Second
 	for i := range proxies {
 		site := d.zones[i%3]
 		f.add(i, site, 7, standing[site])
--- a/review/standin/case_shut.go
+++ b/review/standin/case_shut.go
@@ -25,6 +25,7 @@
 	g := w.startGovernor("n0", listen, lists.address, d.config("n0", listen, lists.address, lists.known()))
 	defer func() { g.end() }()
 	f := newFleet(w, []string{"recipe-read", local}, 115*time.Millisecond, time.Second)
+	f.refuses = lists.isGone
 	for i := range 8 {
 		site := d.zones[i/2]
 		f.add(i, site, 19, standing[site])
@@ -82,6 +83,7 @@
 	g := w.startGovernor("n0", listen, lists.address, d.config("n0", listen, lists.address, lists.known()))
 	defer g.end()
 	f := newFleet(w, []string{"recipe-read", local}, 115*time.Millisecond, time.Second)
+	f.refuses = lists.isGone
 	for i := range 8 {
 		site := d.zones[3-i/2]
 		f.add(i, site, 19, standing[site])
--- a/review/standin/case_watch.go
+++ b/review/standin/case_watch.go
@@ -35,6 +35,7 @@
 	defer g.end()
 
 	f := newFleet(w, []string{"recipe-read", "batch-log"}, 115*time.Millisecond, time.Second)
+	f.refuses = lists.isGone
 	for i := range 8 {
 		site := d.zones[i%4]
 		f.add(i, site, 19, standing[site])
--- a/review/standin/discovery.go
+++ b/review/standin/discovery.go
@@ -256,3 +256,10 @@
 	defer d.mu.Unlock()
 	return d.drained[name]
 }
+
+// isGone reports whether a host is gone now: nothing listens there.
+func (d *discovery) isGone(name string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.hosts[name].Health == "gone"
+}
--- a/review/standin/proxy.go
+++ b/review/standin/proxy.go
@@ -22,11 +22,17 @@
 	done    chan struct{}
 	wait    sync.WaitGroup
 
-	mu     sync.Mutex
-	met    map[string]map[string]int // attempts since the last report, by site and replica
-	second map[string]int            // attempts since the last line of the record, by replica
-	onSend func(p *proxy, class, replica string, at time.Time)
-	onTick func(p *proxy, at time.Time)
+	mu         sync.Mutex
+	met        map[string]map[string]int // attempts since the last report, by site and replica
+	late       time.Duration             // of load reports and usage
+	reading    string                    // the load report that the replicas give
+	refuses    func(replica string) bool
+	avoidAfter int // a proxy avoids a replica after that many of its own tries in a row failed; 0: never
+	avoidFor   time.Duration
+	failed     map[string]map[string]int // of the attempts met, those that were refused
+	second     map[string]int            // attempts since the last line of the record, by replica
+	onSend     func(p *proxy, class, replica string, at time.Time)
+	onTick     func(p *proxy, at time.Time)
 }
 
 // proxy is one proxy with its tables, which it keeps across streams.
@@ -46,14 +52,17 @@
 	away     bool
 	bareFrom map[string]time.Time
 	requests map[string]int
-	messages []time.Time // messages of this stream
-	most     int         // messages within 10 s, at most
+	failing  map[string]int       // tries in a row that failed, by replica
+	avoided  map[string]time.Time // until when a replica is avoided
+	messages []time.Time          // messages of this stream
+	most     int                  // messages within 10 s, at most
 }
 
 func newFleet(w *world, classes []string, transit, period time.Duration) *fleet {
 	return &fleet{
 		w: w, classes: classes, transit: transit, period: period, done: make(chan struct{}),
-		met: map[string]map[string]int{}, second: map[string]int{},
+		met: map[string]map[string]int{}, second: map[string]int{}, failed: map[string]map[string]int{},
+		late: 600 * time.Millisecond, reading: "cpu_share:0.40", refuses: func(string) bool { return false },
 	}
 }
 
@@ -62,6 +71,7 @@
 	p := &proxy{
 		f: f, id: id, site: site, rps: rps, tables: map[string]map[string]float64{}, out: map[string]bool{},
 		bareFrom: map[string]time.Time{}, requests: map[string]int{}, away: true,
+		failing: map[string]int{}, avoided: map[string]time.Time{},
 	}
 	for _, class := range f.classes {
 		p.tables[class] = map[string]float64{}
@@ -249,7 +259,12 @@
 
 // pick draws a replica by weight; p.mu is held.
 func (p *proxy) pick(class string) string {
-	names := p.lines(class)
+	var names []string
+	for _, name := range p.lines(class) {
+		if time.Now().After(p.avoided[name]) {
+			names = append(names, name)
+		}
+	}
 	total := 0.0
 	for _, name := range names {
 		total += p.tables[class][name]
@@ -278,7 +293,8 @@
 	go f.recordAttempts()
 }
 
-// recordAttempts writes each second's attempts to the record. The replicas of this stand-in run and answer each attempt.
+// recordAttempts writes each second's attempts to the record. The replicas of this stand-in run and answer
+// each attempt, and refuse it once they are gone.
 func (f *fleet) recordAttempts() {
 	defer f.wait.Done()
 	ticker := time.NewTicker(time.Second)
@@ -297,7 +313,7 @@
 		for _, replica := range keys(second) {
 			texts = append(texts, fmt.Sprintf("%s %d", replica, second[replica]))
 		}
-		f.w.logf("attempts sent, run and answered in this second: %s", strings.Join(texts, ", "))
+		f.w.logf("attempts sent, run and answered (unless refused) in this second: %s", strings.Join(texts, ", "))
 	}
 }
 
@@ -307,7 +323,7 @@
 	const step = 10 * time.Millisecond
 	ticker := time.NewTicker(step)
 	defer ticker.Stop()
-	usageAt := time.Now().Add(p.f.period)
+	usageAt := time.Now().Add(p.f.period + p.f.late)
 	due := 0.0
 	next := 0
 	for {
@@ -337,9 +353,19 @@
 			if p.f.met[p.site] == nil {
 				p.f.met[p.site] = map[string]int{}
 			}
+			refused := p.f.refuses(replica)
 			p.f.met[p.site][replica]++
-			p.f.second[replica]++
+			if refused {
+				if p.f.failed[p.site] == nil {
+					p.f.failed[p.site] = map[string]int{}
+				}
+				p.f.failed[p.site][replica]++
+				p.f.second[replica+" (refused)"]++
+			} else {
+				p.f.second[replica]++
+			}
 			p.f.mu.Unlock()
+			p.noteResult(replica, refused, now)
 		}
 		if p.f.onTick != nil {
 			p.f.onTick(p, now)
@@ -360,6 +386,21 @@
 	}
 }
 
+// noteResult notes the result of an attempt; a proxy that avoids failing replicas judges by its own tries in a row.
+func (p *proxy) noteResult(replica string, refused bool, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !refused {
+		p.failing[replica] = 0
+		return
+	}
+	p.failing[replica]++
+	if p.f.avoidAfter > 0 && p.failing[replica] >= p.f.avoidAfter {
+		p.failing[replica] = 0
+		p.avoided[replica] = now.Add(p.f.avoidFor)
+	}
+}
+
 // collect passes a site's reports on.
 func (f *fleet) collect(address, site string) {
 	defer f.wait.Done()
@@ -385,12 +426,14 @@
 		}
 		f.mu.Lock()
 		met := f.met[site]
-		f.met[site] = map[string]int{}
+		failed := f.failed[site]
+		f.met[site], f.failed[site] = map[string]int{}, map[string]int{}
 		f.mu.Unlock()
+		time.Sleep(f.late)
 		for _, replica := range keys(met) {
 			if _, err := conn.Write(encode("heard", "site", site, "target", replica, "count", strconv.Itoa(met[replica]), "fail",
-				"0", "mean", "120.0", "over", fmt.Sprintf("%d.0", f.period.Milliseconds()), "util",
-				"cpu_share:0.40")); err != nil {
+				strconv.Itoa(failed[replica]), "mean", "120.0", "over", fmt.Sprintf("%d.0", f.period.Milliseconds()), "util",
+				f.reading)); err != nil {
 				conn.Close()
 				conn = nil
 				break
--- a/review/standin/settings.go
+++ b/review/standin/settings.go
@@ -57,6 +57,7 @@
 	} {
 		d.extra[key] = value
 	}
+	d.fields = []string{"busy_reqs"} // the wire's name for inflight
 	d.rules["tip_multiple"] = 2.5
 	d.rules["fall"] = 2000.0
 	d.rules["stop_sending_within"] = 1500.0
@@ -71,7 +72,7 @@
 			"multiplex": 100, "probes": false},
 		"classes": d.classes, "extra": d.extra, "guarantees": d.rules, "me": 0, "membership_mode": "subscribe",
 		"prices":       map[string]any{"connection": 0.02, "cross_zone": d.crossing, "handshake": 0.02, "late_fail": 0.03, "waste": 0.03},
-		"service_type": "control", "shapes": []string{"two-core"}, "siblings": 2,
+		"service_type": "control", "shapes": []string{"two-core"}, "siblings": 1,
 		"stats": map[string]any{"fields": d.fields, "how": "piggyback"}, "tick": 2.0, "value_by": "request",
 		"weight_kind": "rough", "zone": 0, "zones": d.zones,
 	}
