Count failed polls of the endpoint list and the subscriptions after them

Nothing told whether a failed poll of discovery was lost on its way to the balancer, was not followed by a subscription, or a subscription was not followed by a call.

--- a/internal/controller/endpointlist.go
+++ b/internal/controller/endpointlist.go
@@ -7,11 +7,15 @@
 	byID       map[model.ReplicaID]model.Endpoint
 	readyCount int                // number of ready entries
 	fullListAt model.Microseconds // when the newest complete list was received; 0: none was
+
+	failedPollCount   uint64 // failed polls of which the balancer was notified
+	subscriptionCount uint64 // subscriptions that the balancer started
 }
 
-// apply updates the list. A failed poll does not change it.
+// apply updates the list. A failed poll does not change it and is counted.
 func (l *endpointList) apply(now model.Microseconds, event *endpointEvent) {
 	if event.update == model.PollFailed {
+		l.failedPollCount++
 		return
 	}
 	if event.update != model.ChangedEntries {
--- a/internal/controller/publisher.go
+++ b/internal/controller/publisher.go
@@ -51,7 +51,10 @@
 func (c *Controller) SetTimer(delay model.Microseconds) { c.wakeAt = c.now() + delay }
 
 // Subscribe implements model.Publisher; only the balancer calls it.
-func (c *Controller) Subscribe() { c.discovery.Subscribe() }
+func (c *Controller) Subscribe() {
+	c.endpoints.subscriptionCount++
+	c.discovery.Subscribe()
+}
 
 // Log implements model.Publisher; only the balancer calls it.
 func (c *Controller) Log(message string) {
--- a/internal/controller/view.go
+++ b/internal/controller/view.go
@@ -16,6 +16,8 @@
 	ReadyReplicas    int                // replicas listed as ready
 	ListedReplicas   int                // replicas in the endpoint list
 	EndpointsAt      model.Microseconds // when the newest complete endpoint list was received; 0: none was
+	FailedPolls      uint64             // failed polls of the endpoint list of which the balancer was notified
+	Subscriptions    uint64             // subscriptions to the endpoint list that the balancer started
 	Steps            uint64             // steps taken since the start
 	LongestStep      model.Microseconds // duration of the longest step
 	PendingReports   int                // load reports that wait for the balancer
@@ -90,6 +92,8 @@
 		ReadyReplicas:    c.endpoints.readyCount,
 		ListedReplicas:   len(c.endpoints.byID),
 		EndpointsAt:      c.endpoints.fullListAt,
+		FailedPolls:      c.endpoints.failedPollCount,
+		Subscriptions:    c.endpoints.subscriptionCount,
 		Steps:            c.views.steps,
 		LongestStep:      c.views.longestStep,
 		PendingReports:   pendingReports,
--- a/internal/server/statistics.go
+++ b/internal/server/statistics.go
@@ -28,6 +28,8 @@
 		Uint64("version", stats.Version).
 		Bool("safe_mode_ended", view.SafeModeEnded).
 		Int("ready_replicas", view.ReadyReplicas).
+		Uint64("failed_polls", view.FailedPolls).
+		Uint64("subscriptions", view.Subscriptions).
 		Int("max_queued_entries", stats.MaxQueuedEntries).
 		Uint64("messages", stats.Messages).
 		Uint64("entries", stats.Entries).
@@ -53,6 +55,8 @@
 		Interface("server", stats).
 		Bool("safe_mode_ended", view.SafeModeEnded).
 		Int("ready_replicas", view.ReadyReplicas).
+		Uint64("failed_polls", view.FailedPolls).
+		Uint64("subscriptions", view.Subscriptions).
 		Uint64("steps", view.Steps).
 		Int64("longest_step_us", int64(view.LongestStep))
 	if view.Detail != nil {
