--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -157,6 +157,21 @@
 	}
 }
 
+// Guards against an instance that follows no endpoint list any more: a poll fails while a list waits for the same step.
+func TestSubscribesAgainIfPollFailsWhileListWaits(t *testing.T) {
+	controller := New(testConfig(), 1000, NewClock(), zerolog.Nop())
+	env := newEnvironment(10_000)
+	controller.EndpointsChanged(model.FullList, readyEndpoints(1, 2))
+	controller.EndpointsChanged(model.PollFailed, nil)
+	go controller.Run(env, env, nil)
+	t.Cleanup(controller.Stop)
+	env.expectEvent(t, "subscribe") // at the start
+	env.expectEvent(t, "subscribe") // after the failure
+	if view := controller.View(); view.ReadyReplicas != 2 || view.FailedPolls != 1 {
+		t.Fatalf("got view %+v, want 2 ready replicas and 1 failed poll", view)
+	}
+}
+
 // A detail is copied only while DetailedView is called.
 func TestDetailIsCopiedWhenDetailedViewIsCalled(t *testing.T) {
 	controller, env := startController(t, readyEndpoints(1, 2), testConfig())
--- a/internal/controller/endpointlist.go
+++ b/internal/controller/endpointlist.go
@@ -13,7 +13,7 @@
 }
 
 // apply updates the list. A failed poll does not change it and is counted.
-func (l *endpointList) apply(now model.Microseconds, event *endpointEvent) {
+func (l *endpointList) apply(now model.Microseconds, event endpointEvent) {
 	if event.update == model.PollFailed {
 		l.failedPollCount++
 		return
--- a/internal/controller/eventloop.go
+++ b/internal/controller/eventloop.go
@@ -46,7 +46,9 @@
 	events := c.mailbox.drain(c.reportBudget.refill(now))
 	c.reportBudget.spend(len(events.reports))
 
-	c.deliverEndpoints(now, events.endpoints)
+	for _, event := range events.endpoints {
+		c.deliverEndpoints(now, event)
+	}
 	c.deliverProxyEvents(now, events.proxies)
 	c.deliverReports(now, events.reports)
 	c.fireTimer(now)
@@ -62,11 +64,8 @@
 	c.storeView(now)
 }
 
-// deliverEndpoints delivers the newest event of endpoint discovery; nil means that there is none.
-func (c *Controller) deliverEndpoints(now model.Microseconds, event *endpointEvent) {
-	if event == nil {
-		return
-	}
+// deliverEndpoints delivers an event of endpoint discovery.
+func (c *Controller) deliverEndpoints(now model.Microseconds, event endpointEvent) {
 	c.decisions.addInput(inputEndpoints, endpointUpdateNames[event.update], len(event.entries))
 	c.balancer.EndpointsChanged(now, event.update, event.entries)
 	c.endpoints.apply(now, event)
--- a/internal/controller/mailbox.go
+++ b/internal/controller/mailbox.go
@@ -11,15 +11,16 @@
 const noAcknowledgement = -1
 
 // mailbox queues the events for the balancer. It keeps only the newest state of each proxy and of the endpoint list,
-// and one merged load report for each replica and zone. It does no I/O, its methods do not block, and it may be used
-// from any goroutine.
+// whether a poll of the endpoint list failed, and one merged load report for each replica and zone. It does no I/O, its
+// methods do not block, and it may be used from any goroutine.
 type mailbox struct {
 	signal chan struct{} // contains a value while a step is requested
 
 	mu           sync.Mutex
 	proxies      map[model.ProxyID]*proxySlot // for each proxy with an open stream or waiting events
 	waitingSlots []*proxySlot                 // slots with waiting events, in the order of their first event
-	endpoints    *endpointEvent               // the waiting event; nil: none
+	endpoints    *endpointEvent               // the waiting endpoint list; nil: none
+	pollFailed   bool                         // a failed poll waits
 	reports      pendingReports
 }
 
@@ -58,7 +59,7 @@
 
 // receivedEvents are the events that one step delivers to the balancer.
 type receivedEvents struct {
-	endpoints *endpointEvent // nil: there was none
+	endpoints []endpointEvent // at most a list and a failed poll, in this order
 	proxies   []proxyEvents
 	reports   []model.LoadReport
 }
@@ -145,17 +146,16 @@
 	}
 }
 
-// endpointsChanged replaces the waiting event, except that a failed poll does not replace a list. The list is then
-// delivered as a complete list, and the balancer subscribes again at the next failure.
+// endpointsChanged replaces the waiting list, or records a failed poll. A list and a failure never replace each other:
+// endpoint discovery stops at a failure until the balancer subscribes again; without the failure it would stop for good.
 func (m *mailbox) endpointsChanged(update model.EndpointUpdate, entries []model.Endpoint) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	listIsWaiting := m.endpoints != nil && m.endpoints.update != model.PollFailed
-	if update == model.PollFailed && listIsWaiting {
-		m.endpoints.update = model.FullList
-		return
+	if update == model.PollFailed {
+		m.pollFailed = true
+	} else {
+		m.endpoints = &endpointEvent{update, entries}
 	}
-	m.endpoints = &endpointEvent{update, entries}
 	m.wake()
 }
 
@@ -163,8 +163,25 @@
 func (m *mailbox) drain(reportLimit int) receivedEvents {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	events := receivedEvents{endpoints: m.endpoints, proxies: m.drainProxies(), reports: m.reports.take(reportLimit)}
-	m.endpoints = nil
+	return receivedEvents{
+		endpoints: m.drainEndpoints(),
+		proxies:   m.drainProxies(),
+		reports:   m.reports.take(reportLimit),
+	}
+}
+
+// drainEndpoints removes and returns the waiting events of endpoint discovery. A failure that came before the list is
+// delivered after it: the balancer then subscribes during a subscription, which has no effect. The caller holds m.mu.
+func (m *mailbox) drainEndpoints() []endpointEvent {
+	var events []endpointEvent
+	if m.endpoints != nil {
+		events = append(events, *m.endpoints)
+		m.endpoints = nil
+	}
+	if m.pollFailed {
+		events = append(events, endpointEvent{update: model.PollFailed})
+		m.pollFailed = false
+	}
 	return events
 }
 
--- a/internal/controller/mailbox_test.go
+++ b/internal/controller/mailbox_test.go
@@ -53,7 +53,7 @@
 		t.Fatalf("%d proxies and %d reports wait, want 50 and 30", len(box.waitingSlots), len(box.reports.byKey))
 	}
 	got := box.drain(4)
-	if len(got.proxies) != 50 || len(got.reports) != 4 || got.endpoints == nil {
+	if len(got.proxies) != 50 || len(got.reports) != 4 || len(got.endpoints) != 1 {
 		t.Fatalf("drained %d proxies and %d reports, want 50 and 4", len(got.proxies), len(got.reports))
 	}
 	attempts, errors := 0, 0
@@ -91,16 +91,32 @@
 	}
 }
 
-// A failed poll does not replace a waiting list; without a waiting list it is delivered itself.
-func TestFailedPollDoesNotReplaceWaitingList(t *testing.T) {
-	box := newMailbox()
-	box.endpointsChanged(model.FullList, []model.Endpoint{{ID: id(1)}})
-	box.endpointsChanged(model.PollFailed, nil)
-	if got := box.drain(0).endpoints; got == nil || got.update != model.FullList || len(got.entries) != 1 {
-		t.Fatalf("a list, then a failed poll: got %+v, want the list", got)
-	}
-	box.endpointsChanged(model.PollFailed, nil)
-	if got := box.drain(0).endpoints; got == nil || got.update != model.PollFailed {
-		t.Fatalf("a failed poll alone: got %+v, want the failed poll", got)
+// Guards against a failed poll or a list that is lost when both wait for one step: discovery would then stop for good.
+func TestFailedPollAndListDoNotReplaceEachOther(t *testing.T) {
+	oldList := endpointEvent{model.FullList, readyEndpoints(1)}
+	newList := endpointEvent{model.FullList, readyEndpoints(1, 2)}
+	change := endpointEvent{model.ChangedEntries, readyEndpoints(3)}
+	failure := endpointEvent{update: model.PollFailed}
+	for name, tt := range map[string]struct{ received, want []endpointEvent }{
+		"a failure alone":                 {[]endpointEvent{failure}, []endpointEvent{failure}},
+		"a failure after a list":          {[]endpointEvent{oldList, failure}, []endpointEvent{oldList, failure}},
+		"a failure after a change":        {[]endpointEvent{change, failure}, []endpointEvent{change, failure}},
+		"a list after a failure":          {[]endpointEvent{failure, oldList}, []endpointEvent{oldList, failure}},
+		"a failure between two lists":     {[]endpointEvent{oldList, failure, newList}, []endpointEvent{newList, failure}},
+		"two failures around a list":      {[]endpointEvent{failure, oldList, failure}, []endpointEvent{oldList, failure}},
+		"two lists, the newer one counts": {[]endpointEvent{oldList, newList}, []endpointEvent{newList}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			box := newMailbox()
+			for _, event := range tt.received {
+				box.endpointsChanged(event.update, event.entries)
+			}
+			if got := box.drain(0).endpoints; !reflect.DeepEqual(got, tt.want) {
+				t.Errorf("got %+v, want %+v", got, tt.want)
+			}
+			if got := box.drain(0).endpoints; len(got) != 0 {
+				t.Errorf("a second drain returned %+v, want nothing", got)
+			}
+		})
 	}
 }
--- a/internal/server/platform_test.go
+++ b/internal/server/platform_test.go
@@ -59,6 +59,27 @@
 	bed.end()
 }
 
+// Guards against an instance that learns of no drain any more, because a watch of discovery ended right after its list.
+func TestServePlatformFollowsDiscoveryAfterShortWatches(t *testing.T) {
+	bed := newPlatformTestbed(t, 4)
+	bed.watchesToEnd.Store(2)
+	address, _ := bed.startDiscovery()
+	bed.writeConfiguration(address)
+	bed.start()
+	for id := range 2 {
+		bed.connect(bed.newProxy(id), "1")
+	}
+	bed.startLoad()
+	bed.waitForProxies("bound with a table of all four replicas", func(p *platformProxy) bool {
+		return p.fullTableCount == 1 && len(p.weights) == 4
+	})
+	bed.setHost(1, "draining", 0)
+	bed.waitForProxies("notified of the withdrawal", func(p *platformProxy) bool {
+		return p.withdrawn[hostName(1)] || p.weights[hostName(1)] == 0
+	})
+	bed.end()
+}
+
 // reconnectAfterBreak breaks a proxy's stream and connects the proxy again. Before the reconnection, another instance
 // withdraws a replica that this instance did not withdraw. The proxy must be bound again and send to that replica
 // again.
--- a/internal/server/platform_testbed_test.go
+++ b/internal/server/platform_testbed_test.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -48,8 +49,10 @@
 	file   string
 	now    func() model.Microseconds
 	reload chan struct{}
-	cancel context.CancelFunc
-	ended  chan error
+
+	watchesToEnd atomic.Int32 // so many of the next watches end right after the first list
+	cancel       context.CancelFunc
+	ended        chan error
 
 	mu             sync.Mutex
 	observations   []invariants.Event
@@ -149,6 +152,9 @@
 		_, _ = w.Write(append(body, '\n')) // the request's context ends when the client disconnects
 		writtenVersion = version
 		flusher.Flush()
+		if bed.watchesToEnd.Add(-1) >= 0 {
+			return
+		}
 		select {
 		case <-changed:
 		case <-time.After(time.Second):
