Count updates that the send window puts off, by the limit that did

A withdrawal that comes late may have waited for the queue, for the limit on messages, or for an acknowledgement that frees the queue; no figure told them apart. The balancer's view and the platform's statistics count tries refused by either limit.

--- a/internal/balancer/sendwindow.go
+++ b/internal/balancer/sendwindow.go
@@ -53,6 +53,9 @@
 	sequence       int      // sequence number of the last message
 	recipients     []*proxy // proxies that get the message being written
 	ackFromAll     bool     // every proxy is to acknowledge the message, also proxies that are not in recipients
+
+	messageRefusals int // updates refused because of the message limit, since the start
+	queueRefusals   int // updates refused because of the queue limit, since the start
 }
 
 func newSendWindow(config model.Config) sendWindow {
@@ -88,10 +91,12 @@
 		total += w.messageCost
 		w.dropOldMessageTimes(now, p)
 		if w.messagesExhausted(p, limits.spareMessages) {
+			w.messageRefusals++
 			return false
 		}
 	}
 	if len(proxies) > 0 && w.exceedsQueue(total, limits.queueShare) {
+		w.queueRefusals++
 		return false
 	}
 	for _, p := range proxies {
--- a/internal/balancer/view.go
+++ b/internal/balancer/view.go
@@ -14,6 +14,8 @@
 	NormalizedLatency  float64           // mean latency of good attempts over the objective, median replica
 	WarmingFraction    float64           // share of the replicas in use that are new and warming up
 	UnackedEntries     int               // entries sent and not yet acknowledged
+	QueueRefusals      int               // updates delayed by the queue limit since the start; each try counts
+	MessageRefusals    int               // updates delayed by the message limit since the start; each try counts
 	Quotas             []float64         // admitted share, by operation
 	RetryPolicy        model.RetryPolicy
 	Replicas           []ReplicaView
@@ -87,6 +89,8 @@
 		NormalizedLatency: b.load.normalizedLatency,
 		WarmingFraction:   b.load.warmingFraction,
 		UnackedEntries:    b.window.unackedEntries,
+		QueueRefusals:     b.window.queueRefusals,
+		MessageRefusals:   b.window.messageRefusals,
 		Quotas:            slices.Clone(b.shedder.quotas),
 		RetryPolicy:       b.shedder.retryPolicy,
 		Replicas:          make([]ReplicaView, 0, len(b.replicas)),
--- a/internal/server/statistics.go
+++ b/internal/server/statistics.go
@@ -65,6 +65,8 @@
 			Float64("saturation", balancer.Saturation).
 			Float64("normalized_latency", balancer.NormalizedLatency).
 			Int("unacked_entries", balancer.UnackedEntries).
+			Int("queue_refusals", balancer.QueueRefusals).
+			Int("message_refusals", balancer.MessageRefusals).
 			Floats64("quotas", balancer.Quotas).
 			Int("unreported_replicas", len(balancer.UnreportedReplicas))
 	}
