--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -155,6 +155,7 @@
 	b.now = now
 	if b.timerFired || b.fleetChanged {
 		b.window.countAgedEntries(now, b.proxies)
+		b.updateWithdrawalsWait()
 		b.binder.clearCosts()
 		b.bindProxies()
 		b.withdrawReplicas()
--- a/internal/balancer/binding.go
+++ b/internal/balancer/binding.go
@@ -38,9 +38,10 @@
 	state        proxyState
 	tables       []*table // none while unbound; a second one if zone-local operations have their own tables
 
-	reserved     int // entries reserved in the send window for the message being written; 0: the proxy does not get it
-	unacked      []sentMessage
-	messageTimes []model.Microseconds // send times of the messages that count towards the message limit
+	reserved int // entries reserved in the send window for the message being written; 0: the proxy does not get it
+	unacked  []sentMessage
+	// messageDueAt is when the next message is due if messages are one interval of the pacing apart.
+	messageDueAt model.Microseconds
 }
 
 const (
--- a/internal/balancer/drain.go
+++ b/internal/balancer/drain.go
@@ -62,16 +62,53 @@
 	due := b.collectWithdrawals()
 	b.binder.bindsFirst = b.bindingIsCheaper(&due)
 	b.binder.withdrawalsBlocked = false
+	b.window.pacing.withdrawalsWait = false
 	if b.binder.bindsFirst {
 		return
 	}
-	b.sendWithdrawals(due.first, withdrawalBudget, true)
-	if b.timerFired {
-		b.sendWithdrawals(due.repeated, withdrawalBudget, true)
+	if b.messagesAllowed(&due) {
+		b.sendWithdrawals(due.first, withdrawalBudget, true)
+		if b.timerFired {
+			b.sendWithdrawals(due.repeated, withdrawalBudget, true)
+		}
+	} else {
+		b.window.pacing.withdrawalsWait = true
+		b.window.messageRefusals++
 	}
 	b.sendWithdrawals(due.temporary, promptBudget, false)
 }
 
+// updateWithdrawalsWait ends the wait for messages if the waiting withdrawals are sent in this flush. Binds come before
+// them in a flush, and may use the same messages.
+func (b *Balancer) updateWithdrawalsWait() {
+	if !b.window.pacing.withdrawalsWait {
+		return
+	}
+	b.window.pacing.withdrawalsWait = false
+	due := b.collectWithdrawals()
+	b.window.pacing.withdrawalsWait = !b.messagesAllowed(&due)
+}
+
+// messagesAllowed reports whether the message limit allows a message to every proxy that the withdrawals of draining or
+// unlisted replicas concern. All wait together: one that is sent earlier would make its recipients wait again for the
+// others.
+func (b *Balancer) messagesAllowed(due *dueWithdrawals) bool {
+	isDelayed := func(r *replica) bool {
+		return !b.window.pacing.allow(b.now, b.withdrawalRecipients(r), withdrawalBudget.keepsMessage)
+	}
+	repeatedIsDelayed := b.timerFired && slices.ContainsFunc(due.repeated, isDelayed)
+	return !repeatedIsDelayed && !slices.ContainsFunc(due.first, isDelayed)
+}
+
+// withdrawalRecipients returns the proxies that get a message about the withdrawal or readmission of a replica: while a
+// proxy is unbound, all proxies.
+func (b *Balancer) withdrawalRecipients(r *replica) []*proxy {
+	if b.binder.unbound > 0 {
+		return b.proxies
+	}
+	return b.usersOf(r)
+}
+
 // endEjectionsOfEmptyZones ends ejections if no replica of the fleet is left in use or, with zone-local operations,
 // no replica of the zone.
 func (b *Balancer) endEjectionsOfEmptyZones() {
@@ -123,7 +160,7 @@
 
 // bindingIsCheaper reports whether binds are sent before withdrawals. A bind contains all withdrawals, and costs less
 // if few proxies are unbound or many replicas are withdrawn. Proxies that are bound already are notified by
-// removeUnavailableEntries. It reports false if the message limit of an unbound proxy is reached.
+// removeUnavailableEntries. It reports false if the message limit does not allow a bind of an unbound proxy now.
 func (b *Balancer) bindingIsCheaper(due *dueWithdrawals) bool {
 	messageCost := b.window.messageCost
 	messageCount := (len(due.first) + messageCost - 1) / messageCost // full messages for the first withdrawals
@@ -136,7 +173,7 @@
 		if p.state != unbound {
 			continue
 		}
-		if b.window.messagesExhausted(p, urgentBindBudget.spareMessages) {
+		if !b.window.pacing.allow(b.now, []*proxy{p}, urgentBindBudget.keepsMessage) {
 			return false
 		}
 		bindCost += messageCost + b.bindCost(p.zone, true)
@@ -169,10 +206,7 @@
 // it has capacity. Every proxy with reserved entries must acknowledge, or the window fills up: while a proxy is
 // unbound, entries are reserved for all proxies, and all proxies are asked to acknowledge.
 func (b *Balancer) setWithdrawn(replicas []*replica, withdrawn bool, limits budget) bool {
-	recipients := b.proxies
-	if b.binder.unbound == 0 { // then each call has one replica
-		recipients = b.usersOf(replicas[0])
-	}
+	recipients := b.withdrawalRecipients(replicas[0]) // unless a proxy is unbound, each call has one replica
 	if !b.window.reserve(b.now, recipients, len(replicas), limits) {
 		return false
 	}
@@ -210,7 +244,12 @@
 		return
 	}
 	for _, t := range b.subsets.tables {
-		b.sendWeights(t, withdrawalBudget, func(e *entry) bool { return e.weight > 0 && !e.replica.listedReady() })
+		sent := b.sendWeights(t, withdrawalBudget, func(e *entry) bool {
+			return e.weight > 0 && !e.replica.listedReady()
+		})
+		if !sent {
+			b.window.pacing.withdrawalsWait = true
+		}
 	}
 }
 
--- a/internal/balancer/sendwindow.go
+++ b/internal/balancer/sendwindow.go
@@ -13,22 +13,22 @@
 	routineShare = 0.5 // for all other updates
 )
 
-// budget is the limit of an update: a share of the queue limit, and the message limit of a proxy less spareMessages,
-// which are kept for more urgent updates.
+// budget is the limit of an update: a share of the queue limit, and whether each recipient must be allowed another
+// message right after the update's, for a more urgent update.
 type budget struct {
-	queueShare    float64
-	spareMessages int
+	queueShare   float64
+	keepsMessage bool
 }
 
 var (
-	withdrawalBudget  = budget{urgentShare, 1} // withdrawals of draining or unlisted replicas, and equally urgent updates
-	promptBudget      = budget{promptShare, 1} // temporary withdrawals, and weights to be sent at once
-	urgentBindBudget  = budget{urgentShare, 2}
-	routineBindBudget = budget{routineShare, 2}
-	quotaBudget       = budget{promptShare, 3}
-	weightBudget      = budget{routineShare, 3}
-
-	firstWeightsBudget = budget{1, 0} // weights of a new table, which no proxy uses yet
+	withdrawalBudget  = budget{urgentShare, false} // withdrawals of draining or unlisted replicas, equally urgent updates
+	promptBudget      = budget{promptShare, false} // temporary withdrawals, and weights to be sent at once
+	urgentBindBudget  = budget{urgentShare, false}
+	routineBindBudget = budget{routineShare, false}
+	quotaBudget       = budget{promptShare, true}
+	weightBudget      = budget{routineShare, true}
+
+	firstWeightsBudget = budget{1, false} // weights of a new table, which no proxy uses yet
 )
 
 // sequenceNumbers is the number of different sequence numbers. They have 16 bits on the wire.
@@ -46,8 +46,7 @@
 type sendWindow struct {
 	messageCost    int // overhead of a message
 	queueLimit     int // in entries
-	messageLimit   int // messages to one proxy within messageSpan; 0: no limit
-	messageSpan    model.Microseconds
+	pacing         messagePacing
 	unackedEntries int      // entries that are unacknowledged or reserved
 	agedEntries    int      // entries added for the age of unacknowledged messages
 	sequence       int      // sequence number of the last message
@@ -60,10 +59,9 @@
 
 func newSendWindow(config model.Config) sendWindow {
 	return sendWindow{
-		messageCost:  config.MessageOverhead + 1 + len(config.Operations),
-		queueLimit:   config.QueueLimit,
-		messageLimit: config.MessageLimit,
-		messageSpan:  config.MessageWindow,
+		messageCost: config.MessageOverhead + 1 + len(config.Operations),
+		queueLimit:  config.QueueLimit,
+		pacing:      newMessagePacing(config),
 	}
 }
 
@@ -82,17 +80,15 @@
 
 // reserve reserves entries for each of the given proxies if the entries may be sent now, and reports whether they may.
 func (w *sendWindow) reserve(now model.Microseconds, proxies []*proxy, entries int, limits budget) bool {
+	if !w.pacing.allow(now, proxies, limits.keepsMessage) {
+		w.messageRefusals++
+		return false
+	}
 	total := w.unackedEntries
 	for _, p := range proxies {
 		total += entries
-		if p.reserved > 0 {
-			continue
-		}
-		total += w.messageCost
-		w.dropOldMessageTimes(now, p)
-		if w.messagesExhausted(p, limits.spareMessages) {
-			w.messageRefusals++
-			return false
+		if p.reserved == 0 {
+			total += w.messageCost
 		}
 	}
 	if len(proxies) > 0 && w.exceedsQueue(total, limits.queueShare) {
@@ -110,12 +106,6 @@
 	return true
 }
 
-// messagesExhausted reports whether another message would leave a proxy with fewer than spare messages under the
-// message limit.
-func (w *sendWindow) messagesExhausted(p *proxy, spare int) bool {
-	return w.messageLimit > 0 && len(p.messageTimes)+spare >= w.messageLimit
-}
-
 // exceedsQueue reports whether entries exceed a share of the queue limit. Aged entries count too, except for urgent
 // updates.
 func (w *sendWindow) exceedsQueue(entries int, share float64) bool {
@@ -125,13 +115,6 @@
 	return float64(entries) > share*float64(w.queueLimit)
 }
 
-// dropOldMessageTimes removes the send times that no longer count towards the message limit.
-func (w *sendWindow) dropOldMessageTimes(now model.Microseconds, p *proxy) {
-	p.messageTimes = slices.DeleteFunc(p.messageTimes, func(at model.Microseconds) bool {
-		return now-at > w.messageSpan
-	})
-}
-
 // nextSequence returns the sequence number of the message being written.
 func (w *sendWindow) nextSequence() uint32 {
 	w.sequence = (w.sequence + 1) % sequenceNumbers
@@ -142,7 +125,7 @@
 func (w *sendWindow) recordSent(now model.Microseconds) {
 	for _, p := range w.recipients {
 		p.unacked = append(p.unacked, sentMessage{w.sequence, p.reserved, now})
-		p.messageTimes = append(p.messageTimes, now)
+		w.pacing.recordSent(now, p)
 		p.reserved = 0
 	}
 	w.recipients = nil
--- a/internal/balancer/simulatedfleet_test.go
+++ b/internal/balancer/simulatedfleet_test.go
@@ -54,6 +54,7 @@
 	weights     map[model.ReplicaID]float64
 	withdrawn   map[model.ReplicaID]bool
 	emptySince  model.Microseconds
+	sentAt      []model.Microseconds // when the messages of the current stream were written
 	table       model.TableID
 	bound       bool // the balancer has bound it in this stream
 }
@@ -226,6 +227,7 @@
 		f.channelIdleAt = max(f.channelIdleAt, f.now) + span
 		message.leavesAt = f.channelIdleAt
 		f.queue = append(f.queue, message)
+		f.checkMessageLimit(p)
 	}
 	clear(f.pendingMessages)
 	queuedEntries := 0
@@ -237,6 +239,26 @@
 	}
 }
 
+// checkMessageLimit records a message to a proxy and fails if the proxy's stream has got too many. One message is left
+// for a repeated request of an acknowledgement.
+func (f *simulatedFleet) checkMessageLimit(id model.ProxyID) {
+	if f.config.MessageLimit == 0 {
+		return
+	}
+	p := f.proxies[id]
+	p.sentAt = append(p.sentAt, f.now)
+	inWindow := 0
+	for _, at := range p.sentAt {
+		if f.now-at < f.config.MessageWindow {
+			inWindow++
+		}
+	}
+	if inWindow > f.config.MessageLimit-1 {
+		f.t.Fatalf("messages: proxy %d got %d within %d us, want at most %d", id, inWindow, f.config.MessageWindow,
+			f.config.MessageLimit-1)
+	}
+}
+
 // tick fires the balancer's timer, flushes and checks the fleet.
 func (f *simulatedFleet) tick() {
 	f.balancer.TimerFired(f.now)
@@ -358,6 +380,7 @@
 	p.connectedAt = f.now
 	p.bound = false
 	p.emptySince = never
+	p.sentAt = nil
 	p.stream++
 	f.balancer.ProxyConnected(f.now, id, p.zone, 5)
 }
--- a/internal/controller/mailbox.go
+++ b/internal/controller/mailbox.go
@@ -147,7 +147,7 @@
 }
 
 // endpointsChanged replaces the waiting list, or records a failed poll. A list and a failure never replace each other:
-// endpoint discovery stops at a failure until the balancer subscribes again; without the failure it would stop for good.
+// endpoint discovery stops at a failure until the balancer subscribes again; without the failure it stops for good.
 func (m *mailbox) endpointsChanged(update model.EndpointUpdate, entries []model.Endpoint) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
