--- a/internal/platform/publish_test.go
+++ b/internal/platform/publish_test.go
@@ -35,6 +35,25 @@
 	client.expectMessage("update lines s-1:1")
 }
 
+// TestBindCarriesReadmissionsOfSameStep: Guards against a proxy that shuts out what its table names, because its bind
+// lost the end of this instance's own withdrawal. It holds for proxies with and without earlier withdrawals.
+func TestBindCarriesReadmissionsOfSameStep(t *testing.T) {
+	for _, join := range []string{"joined id 7 site govan rps 1 new 0", "joined id 7 site govan rps 1 new 1"} {
+		t.Run(join, func(t *testing.T) {
+			harness := startServer(t, nil)
+			client := harness.dial(t).send(join)
+			harness.waitForAdmission(7, func(*stream) bool { return true })
+			harness.publish(-1, harness.setWithdrawn(1, true), harness.setWithdrawn(2, true))
+			client.expectMessage("update out s-1,s-2")
+			harness.publish(-1, harness.setWithdrawn(1, false), harness.setWithdrawn(2, false), harness.setWeight(1, 1),
+				bindProxy(7))
+			client.expectMessage("update whole 1 lines s-1:1 back s-1")
+			harness.publish(-1, harness.setWeight(2, 1))
+			client.expectMessage("update lines s-2:1 back s-2")
+		})
+	}
+}
+
 // TestOperationTablesAreSentInSeparateUpdateParts: An update has one part for each operation that has its own
 // table, with the operation's name.
 func TestOperationTablesAreSentInSeparateUpdateParts(t *testing.T) {
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -42,7 +42,7 @@
 	server := &Server{
 		config:         config,
 		events:         events,
-		publishedState: snapshot.New(1, config.MessageOverhead),
+		publishedState: snapshot.New(1, config.MessageOverhead, snapshot.UntilReadmission),
 		awaitingJoin:   list.New(),
 		streams:        map[model.ProxyID]*stream{},
 		collectors:     map[int][]*connection{},
--- a/internal/pubsub/observermessage_test.go
+++ b/internal/pubsub/observermessage_test.go
@@ -19,7 +19,7 @@
 // TestObserverMessagesMatchGoldenFiles: Messages to observers are byte for byte equal to golden files, because
 // observers depend on their keys. Decoding gives the same message again.
 func TestObserverMessagesMatchGoldenFiles(t *testing.T) {
-	published := snapshot.New(3, 6)
+	published := snapshot.New(3, 6, snapshot.UntilSnapshot)
 	published.Subscribe(7, "till-1")
 	published.Subscribe(8, "till-2")
 	batch := &snapshot.Batch{AckSequence: -1, Updates: []snapshot.Update{
--- a/internal/pubsub/server.go
+++ b/internal/pubsub/server.go
@@ -50,7 +50,7 @@
 		events:         events,
 		wakeSender:     make(chan struct{}, 1),
 		joins:          admission.New(config.JoinLimits, config.Now()),
-		publishedState: snapshot.New(config.Incarnation, config.MessageOverhead),
+		publishedState: snapshot.New(config.Incarnation, config.MessageOverhead, snapshot.UntilSnapshot),
 		queue:          pacedQueue{entriesPerSecond: config.EntriesPerSecond},
 		streams:        map[model.ProxyID]*connection{},
 		proxyIDs:       map[string]model.ProxyID{},
--- a/internal/snapshot/delivery.go
+++ b/internal/snapshot/delivery.go
@@ -92,7 +92,9 @@
 		Quotas:          slices.Clone(s.Quotas),
 	}
 	message.Withdrawals = slices.Concat(s.endedWithdrawals(subscriber), s.currentWithdrawals(subscriber))
-	clear(subscriber.withdrawn)
+	if s.snapshotEndsWithdrawals(subscriber) {
+		clear(subscriber.withdrawn)
+	}
 	for _, withdrawal := range message.Withdrawals {
 		subscriber.setWithdrawn(withdrawal.Replica, withdrawal.Withdrawn)
 	}
@@ -105,17 +107,22 @@
 	return message
 }
 
-// endedWithdrawals returns the readmissions that a snapshot must contain. On a snapshot, a bound proxy drops every
-// withdrawal that the snapshot does not contain. A proxy on its standing table keeps the withdrawals of other
-// controllers, so it is notified when a withdrawal by this controller ends. The result is sorted by address, so that
-// the same updates give the same bytes.
+// snapshotEndsWithdrawals reports whether a snapshot ends a subscriber's withdrawals that it does not contain. A proxy
+// on its standing table keeps them whatever the protocol, as other controllers may have sent them.
+func (s *State) snapshotEndsWithdrawals(subscriber *Subscriber) bool {
+	return subscriber.Table != nil && s.withdrawalLifetime == UntilSnapshot
+}
+
+// endedWithdrawals returns the readmissions that a snapshot must contain: those of replicas that the subscriber may use
+// and holds as withdrawn by this controller although they are not. The readmission of another replica is sent together
+// with an entry for it. The result is sorted by address, so that the same updates give the same bytes.
 func (s *State) endedWithdrawals(subscriber *Subscriber) []pubsubmsg.Withdrawal {
-	if subscriber.Table != nil {
+	if s.snapshotEndsWithdrawals(subscriber) {
 		return nil
 	}
 	var ended []pubsubmsg.Withdrawal
 	for replica := range subscriber.withdrawn {
-		if !s.isWithdrawn[replica] {
+		if !s.isWithdrawn[replica] && subscriber.mayUse(replica) {
 			ended = append(ended, pubsubmsg.Withdrawal{Replica: replica})
 		}
 	}
--- a/internal/snapshot/delivery_test.go
+++ b/internal/snapshot/delivery_test.go
@@ -11,7 +11,7 @@
 // A proxy that is bound to two tables for separate operations is sent both tables separately. A later change is sent
 // for the changed table only, and a withdrawal once.
 func TestDeliveriesSeparateTablesByOperations(t *testing.T) {
-	state := New(1, 6)
+	state := New(1, 6, UntilSnapshot)
 	state.Subscribe(7, "7")
 	got := state.Apply(&Batch{AckSequence: 4, Updates: []Update{
 		weightUpdate(1, 1, 1), weightUpdate(1, 2, 1), weightUpdate(2, 1, 0.5),
--- a/internal/snapshot/state.go
+++ b/internal/snapshot/state.go
@@ -7,6 +7,15 @@
 	"peppervale/internal/model"
 )
 
+// WithdrawalLifetime is how long a bound proxy keeps a withdrawal, by the protocol that it speaks.
+type WithdrawalLifetime uint8
+
+// The lifetimes of a withdrawal.
+const (
+	UntilSnapshot    WithdrawalLifetime = iota + 1 // a snapshot ends the withdrawals that it does not contain
+	UntilReadmission                               // only a readmission ends it
+)
+
 // State is the published state of one controller. Create it with New. Callers must not change its exported fields.
 type State struct {
 	Incarnation uint64 // incarnation of the controller
@@ -18,18 +27,20 @@
 	Subscribers        []*Subscriber     // in the order of their subscription
 	SubscribersByProxy map[model.ProxyID]*Subscriber
 
-	messageOverhead int // cost of a message in addition to its entries, in entries
-	isWithdrawn     map[model.ReplicaID]bool
+	messageOverhead    int // cost of a message in addition to its entries, in entries
+	withdrawalLifetime WithdrawalLifetime
+	isWithdrawn        map[model.ReplicaID]bool
 }
 
 // New returns the empty state of one incarnation of a controller; messageOverhead is the cost of a message in addition
-// to its entries, in entries.
-func New(incarnation uint64, messageOverhead int) *State {
+// to its entries, in entries. withdrawalLifetime must be that of the protocol by which subscribers get their messages.
+func New(incarnation uint64, messageOverhead int, withdrawalLifetime WithdrawalLifetime) *State {
 	return &State{
 		Incarnation:        incarnation,
 		Tables:             map[model.TableID]*Table{},
 		SubscribersByProxy: map[model.ProxyID]*Subscriber{},
 		messageOverhead:    messageOverhead,
+		withdrawalLifetime: withdrawalLifetime,
 		isWithdrawn:        map[model.ReplicaID]bool{},
 	}
 }
--- a/internal/snapshot/state_test.go
+++ b/internal/snapshot/state_test.go
@@ -24,7 +24,7 @@
 // A withdrawal is sent to the subscribers with an entry for the replica and to those on standing tables. If an entry
 // for a withdrawn replica is added later, the withdrawal is sent together with the entry.
 func TestWithdrawalIsSentToAffectedSubscribers(t *testing.T) {
-	state := New(1, 6)
+	state := New(1, 6, UntilSnapshot)
 	bound, unbound := state.Subscribe(1, "one"), state.Subscribe(2, "two")
 	apply(state, weightUpdate(1, 1, 1), Update{Kind: BindProxy, Proxy: 1, Table: 1})
 	got := apply(state, withdrawalUpdate(9, true))
--- a/internal/snapshot/subscriber.go
+++ b/internal/snapshot/subscriber.go
@@ -14,7 +14,7 @@
 
 	version     uint64                   // version of the newest message to it
 	ackSequence int                      // newest sequence that it was asked to acknowledge, or NoAckSequence
-	withdrawn   map[model.ReplicaID]bool // replicas that it was sent as withdrawn and not as readmitted since
+	withdrawn   map[model.ReplicaID]bool // replicas that it holds as withdrawn by this controller
 	pending     *changes                 // changes for its next message; nil: none
 }
 
@@ -29,7 +29,8 @@
 	quotasChanged            bool              // an admission quota or retry policy was set
 }
 
-// IsWithdrawn reports whether the subscriber was sent a replica as withdrawn and not as readmitted since.
+// IsWithdrawn reports whether the subscriber was sent a replica as withdrawn, and neither a readmission nor a snapshot
+// has ended that since.
 func (s *Subscriber) IsWithdrawn(replica model.ReplicaID) bool { return s.withdrawn[replica] }
 
 func (s *Subscriber) setWithdrawn(replica model.ReplicaID, withdrawn bool) {
