--- a/internal/server/platform_test.go
+++ b/internal/server/platform_test.go
@@ -17,24 +17,14 @@
 	bed := newPlatformTestbed(t, 8)
 	firstDiscovery, stopFirstDiscovery := bed.startDiscovery()
 	bed.writeConfiguration(firstDiscovery)
-	bed.start()
-	for id := range 8 {
-		bed.connect(bed.newProxy(id), "1")
-	}
-	bed.startLoad()
-	bed.waitForProxies("bound with a table of all eight replicas", func(p *platformProxy) bool {
-		return p.fullTableCount == 1 && len(p.weights) == 8
-	})
+	bed.startWithProxies(8)
 
 	otherConns := []net.Conn{
 		bed.dial("update", "whole", "1"),
 		bed.dial("joined", "id", "99", "site", "govan", "rps", "1", "new", "1"),
 		bed.dial("ping"),
 	}
-	bed.setHost(1, "draining", 0)
-	bed.waitForProxies("notified of the withdrawal", func(p *platformProxy) bool {
-		return p.withdrawn[hostName(1)] || p.weights[hostName(1)] == 0
-	})
+	bed.drainHost(1)
 	bed.setHost(9, "ready", time.Now().UnixMilli())
 	bed.waitForProxies("sending to the new replica, in slow start", func(p *platformProxy) bool {
 		inSlowStart := p.weights[hostName(9)] > 0 && p.weights[hostName(9)] < 0.5*p.weights[hostName(3)] // same zone
@@ -49,10 +39,7 @@
 	bed.writeConfiguration(secondDiscovery)
 	bed.reload <- struct{}{}
 	stopFirstDiscovery()
-	bed.setHost(2, "draining", 0)
-	bed.waitForProxies("notified of the withdrawal by the new discovery", func(p *platformProxy) bool {
-		return p.withdrawn[hostName(2)] || p.weights[hostName(2)] == 0
-	})
+	bed.drainHost(2)
 	for _, conn := range otherConns {
 		expectAnswerOrEnd(t, conn)
 	}
@@ -65,18 +52,8 @@
 	bed.watchesToEnd.Store(2)
 	address, _ := bed.startDiscovery()
 	bed.writeConfiguration(address)
-	bed.start()
-	for id := range 2 {
-		bed.connect(bed.newProxy(id), "1")
-	}
-	bed.startLoad()
-	bed.waitForProxies("bound with a table of all four replicas", func(p *platformProxy) bool {
-		return p.fullTableCount == 1 && len(p.weights) == 4
-	})
-	bed.setHost(1, "draining", 0)
-	bed.waitForProxies("notified of the withdrawal", func(p *platformProxy) bool {
-		return p.withdrawn[hostName(1)] || p.weights[hostName(1)] == 0
-	})
+	bed.startWithProxies(2)
+	bed.drainHost(1)
 	bed.end()
 }
 
--- a/internal/server/platform_testbed_test.go
+++ b/internal/server/platform_testbed_test.go
@@ -215,6 +215,31 @@
 	bed.changed = make(chan struct{})
 }
 
+// startWithProxies starts the instance with proxies that send requests, and waits until each is bound to a table of all
+// replicas.
+func (bed *platformTestbed) startWithProxies(count int) {
+	bed.t.Helper()
+	bed.start()
+	for id := range count {
+		bed.connect(bed.newProxy(id), "1")
+	}
+	bed.startLoad()
+	replicas := len(bed.hosts)
+	bed.waitForProxies(fmt.Sprintf("bound with a table of all %d replicas", replicas), func(p *platformProxy) bool {
+		return p.fullTableCount == 1 && len(p.weights) == replicas
+	})
+}
+
+// drainHost lists a host as draining and waits until no proxy may pick it.
+func (bed *platformTestbed) drainHost(number int) {
+	bed.t.Helper()
+	name := hostName(number)
+	bed.setHost(number, "draining", 0)
+	bed.waitForProxies("notified of the withdrawal of "+name, func(p *platformProxy) bool {
+		return p.withdrawn[name] || p.weights[name] == 0
+	})
+}
+
 // writeConfiguration writes the instance's file.
 func (bed *platformTestbed) writeConfiguration(discovery string) {
 	bed.t.Helper()
--- a/internal/server/statistics.go
+++ b/internal/server/statistics.go
@@ -23,13 +23,10 @@
 	if view == nil {
 		return
 	}
-	log.Info().
+	event := log.Info().
 		Int("proxies", stats.Proxies).
-		Uint64("version", stats.Version).
-		Bool("safe_mode_ended", view.SafeModeEnded).
-		Int("ready_replicas", view.ReadyReplicas).
-		Uint64("failed_polls", view.FailedPolls).
-		Uint64("subscriptions", view.Subscriptions).
+		Uint64("version", stats.Version)
+	addControllerState(event, view).
 		Int("max_queued_entries", stats.MaxQueuedEntries).
 		Uint64("messages", stats.Messages).
 		Uint64("entries", stats.Entries).
@@ -43,6 +40,15 @@
 		Msg(statisticsMessage)
 }
 
+// addControllerState adds the fields that the statistics of every instance have.
+func addControllerState(event *zerolog.Event, view *controller.View) *zerolog.Event {
+	return event.
+		Bool("safe_mode_ended", view.SafeModeEnded).
+		Int("ready_replicas", view.ReadyReplicas).
+		Uint64("failed_polls", view.FailedPolls).
+		Uint64("subscriptions", view.Subscriptions)
+}
+
 // logPlatformStatistics logs the statistics of an instance on the operators' platform. It logs nothing before the
 // controller's first step.
 func logPlatformStatistics(log zerolog.Logger, source *controller.Controller, proxyServer *platform.Server) {
@@ -51,12 +57,7 @@
 	if view == nil {
 		return
 	}
-	event := log.Info().
-		Interface("server", stats).
-		Bool("safe_mode_ended", view.SafeModeEnded).
-		Int("ready_replicas", view.ReadyReplicas).
-		Uint64("failed_polls", view.FailedPolls).
-		Uint64("subscriptions", view.Subscriptions).
+	event := addControllerState(log.Info().Interface("server", stats), view).
 		Uint64("steps", view.Steps).
 		Int64("longest_step_us", int64(view.LongestStep))
 	if view.Detail != nil {
