--- a/internal/balancer/simulatedfleet_test.go
+++ b/internal/balancer/simulatedfleet_test.go
@@ -244,8 +244,8 @@
 	}
 }
 
-// bindCost returns the cost of a message that binds its proxy: it contains each entry of the table once, the withdrawals
-// of the replicas in the table and no others, and the quotas, whatever was published in the same flush.
+// bindCost returns the cost of a message that binds its proxy. It contains each entry of the table once, the quotas and
+// the withdrawals of the replicas in the table, whatever was published in the same flush.
 func (f *simulatedFleet) bindCost(message *simulatedMessage) int {
 	table := f.tables[f.proxies[message.to].table]
 	cost := f.config.MessageOverhead + 1 + len(table) + f.publishedQuotas + message.readmitted
