--- a/review/standin2/correctedfile.go
+++ b/review/standin2/correctedfile.go
@@ -41,7 +41,8 @@
 	configure := func(member clusterMember, parts int) string {
 		file := instanceFile{
 			name: member.name, listen: member.listen, registry: registry.address, zones: zones, forwarders: 12,
-			group: groupBlock(member, members, parts),
+			group: groupBlock(member, members, fmt.Sprintf(
+				"  parts  = %d\n  span   = \"300ms\"\n  settle = \"2s\"\n  pace   = \"500ms\"", parts)),
 		}
 		return b.write(member.name+".hcl", file.text())
 	}
@@ -76,16 +77,22 @@
 	time.Sleep(unansweredLimit + 9*time.Second)
 	judgeJoined(b, proxies, restartedAt)
 	for _, member := range []clusterMember{members[0], last} {
-		out, err := exec.Command(b.program, "cluster", "status", "--at", member.port).CombinedOutput()
-		b.log("cluster status at %s (%v):\n%s", member.name, err, out)
+		b.logStatus(member)
 	}
 	b.copyLog(last.name, "cluster member", "lease ", "serving")
 }
 
-func groupBlock(own clusterMember, members []clusterMember, parts int) string {
+// logStatus writes what `cluster status` says at a member to the record.
+func (b *testbed) logStatus(member clusterMember) {
+	out, err := exec.Command(b.program, "cluster", "status", "--at", member.port).CombinedOutput()
+	b.log("cluster status at %s (%v):\n%s", member.name, err, out)
+}
+
+// groupBlock returns the block group of a member's file; lines are its settings beside the addresses.
+func groupBlock(own clusterMember, members []clusterMember, lines string) string {
 	var text strings.Builder
 	fmt.Fprintf(&text, "\ngroup {\n  listen = %q\n  gossip = %q\n  zone   = %q\n", own.port, own.gossip, own.zone)
-	fmt.Fprintf(&text, "  parts  = %d\n  span   = \"300ms\"\n  settle = \"2s\"\n  pace   = \"500ms\"\n", parts)
+	fmt.Fprintf(&text, "%s\n", lines)
 	for _, member := range members {
 		fmt.Fprintf(&text, "  member %q {\n    address = %q\n    gossip  = %q\n  }\n",
 			member.name, member.port, member.gossip)
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -57,6 +57,8 @@
 		"hung-proxy":     hungProxy,
 		"corrected-file": correctedFile,
 		"same-life":      sameLife,
+		"raised-span":    raisedSpan,
+		"dead-stream":    deadStream,
 		"restart-bare":   restartBare,
 		"all-to-one":     allToOne,
 	}
