--- a/review/standin2/instance.go
+++ b/review/standin2/instance.go
@@ -171,10 +171,10 @@
 			late++
 		}
 	}
-	b.note("drain of %s: the last of %d proxies could pick it until %.3f s after the instance was told", replica,
+	b.note("%s: the last of %d proxies could pick it until %.3f s after the instance was told", replica,
 		len(proxies), max(0, latest).Seconds())
 	if late > 0 {
-		b.breach("%d joined proxies could still pick the draining %s more than %.1f s after their instance was told",
+		b.breach("%d joined proxies could still pick %s, which drains or is gone, %.1f s after their instance was told",
 			late, replica, drainLimit.Seconds())
 	}
 }
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -55,6 +55,7 @@
 func main() {
 	cases := map[string]func(*testbed){
 		"hung-proxy":     hungProxy,
+		"governor-lost":  governorLost,
 		"silent-hall":    silentHall,
 		"corrected-file": correctedFile,
 		"same-life":      sameLife,
