--- a/review/standin2/load.go
+++ b/review/standin2/load.go
@@ -5,6 +5,7 @@
 import (
 	"math/rand/v2"
 	"sort"
+	"time"
 
 	"peppervale/internal/codec/pubsubmsg"
 	"peppervale/internal/model"
@@ -37,6 +38,7 @@
 		if attempts[replica] == 0 {
 			continue
 		}
+		p.sent = append(p.sent, sending{p.bed.now() - time.Second, replica, attempts[replica]})
 		id, err := pubsubmsg.ParseAddress(replica)
 		if err != nil {
 			continue
--- /dev/null
+++ b/review/standin2/platformcases.go
@@ -0,0 +1,157 @@
+//go:build review2
+
+package main
+
+import (
+	"fmt"
+	"time"
+)
+
+// hostsOf returns replicas that long have been up.
+func hostsOf(zones []string, each int) (hosts []host) {
+	for i := range each * len(zones) {
+		hosts = append(hosts, host{
+			Host: fmt.Sprintf("s-%s-%d", zones[i%len(zones)], i/len(zones)), Dial: fmt.Sprintf("127.0.1.1:%d", 9001+i),
+			Site: zones[i%len(zones)], Class: "two-core", Block: i / len(zones) / 3, Health: "ready", Share: 1,
+		})
+	}
+	return hosts
+}
+
+func namesOf(hosts []host, site string) (names []string) {
+	for _, h := range hosts {
+		if h.Site == site {
+			names = append(names, h.Host)
+		}
+	}
+	return names
+}
+
+// judgePlatformDrain checks the third rule for one replica: joined proxies send nothing to it once the grace has passed
+// since the instance was told, or since they joined.
+func judgePlatformDrain(b *testbed, proxies []*platformProxy, replica string, toldAt time.Duration) {
+	const grace = drainLimit + protocolSlack
+	late, requests, latest := 0, 0, time.Duration(0)
+	for _, p := range proxies {
+		p.mu.Lock()
+		deadline := max(toldAt, p.joinedAt) + grace
+		sent := 0
+		for _, s := range p.sent {
+			if s.replica == replica && s.from > deadline {
+				sent++
+				latest = max(latest, s.from-(deadline-grace))
+			}
+		}
+		p.mu.Unlock()
+		if sent > 0 {
+			late++
+			requests += sent
+		}
+	}
+	if late > 0 {
+		b.breach("%d joined proxies sent %d requests to %s, which drains or is gone, up to %.2f s after the instance was told; "+
+			"allowed are %.1f s", late, requests, replica, latest.Seconds(), grace.Seconds())
+		return
+	}
+	b.note("%s got no request after the grace", replica)
+}
+
+// platformLost: one of four halls is lost with the only governor. The governor comes back 4 s later with its last list, and
+// the hall's replicas leave the list 0.7 s after that. Much later another replica drains.
+func platformLost(b *testbed) {
+	const proxyCount = 400
+	zones := []string{"govan", "partick", "dalmarnock", "springburn"}
+	hosts := hostsOf(zones, 7)
+	discovery := startDiscovery(b, hosts)
+	listen := freeAddress()
+	known, _ := discovery.since(0)
+	config := b.write("n1.json", platformConfig(listen, discovery.address, "8c1f30d27a5be964", proxyCount, zones, known))
+	instance := b.platform("n1", config, listen)
+	fleet := newPlatformFleet(b, listen, zones)
+	for i := range proxyCount {
+		site := zones[i%len(zones)]
+		fleet.add(site, 2, namesOf(hosts, site)[:6])
+	}
+	b.waitFor("all proxies hold a table that was ordered", 30*time.Second, func() bool {
+		for _, p := range fleet.proxies {
+			p.mu.Lock()
+			ordered := p.ordered
+			p.mu.Unlock()
+			if !ordered {
+				return false
+			}
+		}
+		return true
+	})
+	b.sleepUntil(20 * time.Second)
+	if b.trouble {
+		b.kill(instance)
+	}
+	b.sleepUntil(24 * time.Second)
+	if b.trouble {
+		b.platform("n1", b.write("n1.json",
+			platformConfig(listen, discovery.address, "8c1f30d27a5be965", proxyCount, zones, known)), listen)
+	}
+	b.waitFor("all proxies are joined", 15*time.Second, func() bool {
+		for _, p := range fleet.proxies {
+			p.mu.Lock()
+			joined := p.joined
+			p.mu.Unlock()
+			if !joined {
+				return false
+			}
+		}
+		return true
+	})
+	b.sleepUntil(24700 * time.Millisecond)
+	gone := namesOf(hosts, "springburn")
+	discovery.change("gone", gone...)
+	b.sleepUntil(50 * time.Second)
+	drained := "s-govan-0"
+	discovery.change("draining", drained)
+	b.sleepUntil(70 * time.Second)
+	for _, replica := range gone {
+		toldAt, _ := discovery.toldAt(replica, "gone")
+		judgePlatformDrain(b, fleet.proxies, replica, toldAt)
+	}
+	toldAt, _ := discovery.toldAt(drained, "draining")
+	judgePlatformDrain(b, fleet.proxies, drained, toldAt)
+	b.copyLog("n1", "serving", "safe mode", "statistics", "silent", "closed")
+}
+
+// goneUnlisted: the only instance is killed and comes back with a last list that is out of date. A replica that its proxies
+// hold, and that this list does not have yet, is gone meanwhile.
+func goneUnlisted(b *testbed) {
+	const proxyCount = 150
+	zones := []string{"govan", "partick", "dalmarnock", "springburn"}
+	hosts := hostsOf(zones, 4)
+	discovery := startDiscovery(b, hosts)
+	listen := freeAddress()
+	known, _ := discovery.since(0)
+	config := b.write("n1.json", platformConfig(listen, discovery.address, "8c1f30d27a5be964", proxyCount, zones, known))
+	instance := b.platform("n1", config, listen)
+	fleet := newPlatformFleet(b, listen, zones)
+	for i := range proxyCount {
+		site := zones[i%len(zones)]
+		fleet.add(site, 2, namesOf(hosts, site)[:4])
+	}
+	b.sleepUntil(10 * time.Second)
+	added := host{Host: "s-govan-new", Dial: "127.0.1.1:9100", Site: "govan", Class: "two-core", Health: "ready", Share: 1}
+	discovery.add(added)
+	b.sleepUntil(30 * time.Second)
+	if b.trouble {
+		b.kill(instance)
+	}
+	b.sleepUntil(33 * time.Second)
+	discovery.change("gone", added.Host)
+	b.sleepUntil(34 * time.Second)
+	if b.trouble {
+		b.platform("n1", b.write("n1.json",
+			platformConfig(listen, discovery.address, "8c1f30d27a5be965", proxyCount, zones, known)), listen)
+	}
+	b.sleepUntil(50 * time.Second)
+	toldAt, ok := discovery.toldAt(added.Host, "gone")
+	b.note("the instance was told that %s is gone at %.3f: %v", added.Host, toldAt.Seconds(), ok)
+	judgePlatformDrain(b, fleet.proxies, added.Host, max(toldAt, 35*time.Second))
+	b.copyLog("n1", "serving", "safe mode", "statistics", "silent", "closed")
+}
--- a/review/standin2/proxy.go
+++ b/review/standin2/proxy.go
@@ -46,6 +46,14 @@
 	isBare    bool
 	usedUntil map[string]time.Duration // by replica: when it could last be picked; the future while it can
 	answers   []answer
+	sent      []sending
+}
+
+// sending is the requests that a proxy sent to a replica within the second from a time on.
+type sending struct {
+	from    time.Duration
+	replica string
+	count   int
 }
 
 // held is the newest message that was applied of an instance.
