--- a/review/standin2/instance.go
+++ b/review/standin2/instance.go
@@ -147,8 +147,14 @@
 		}
 	}
 	b.note("%d times one of %d proxies was too long without an entry to pick", tooLong, len(proxies))
-	b.note("longest time of a joined proxy without an entry to pick: %.3f s of %.1f s", longest.Seconds(),
-		bareLimit.Seconds())
+	refused := 0
+	for _, p := range proxies {
+		p.mu.Lock()
+		refused += p.refused
+		p.mu.Unlock()
+	}
+	b.note("longest time of a joined proxy without an entry to pick: %.3f s of %.1f s; some %d requests found no replica",
+		longest.Seconds(), bareLimit.Seconds(), refused)
 }
 
 // judgeDrain checks the third rule for one replica that was told as draining or gone at a time: joined proxies send nothing
--- a/review/standin2/load.go
+++ b/review/standin2/load.go
@@ -21,6 +21,7 @@
 		total += p.entries[replica]
 	}
 	if total <= 0 {
+		p.refused += int(p.rate + rand.Float64())
 		return nil
 	}
 	attempts := map[string]int{}
--- a/review/standin2/proxy.go
+++ b/review/standin2/proxy.go
@@ -47,6 +47,7 @@
 	usedUntil map[string]time.Duration // by replica: when it could last be picked; the future while it can
 	answers   []answer
 	sent      []sending
+	refused   int // requests that found no replica to pick while the proxy was joined
 }
 
 // sending is the requests that a proxy sent to a replica within the second from a time on.
