--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -196,26 +196,7 @@
 
 // start starts an instance and waits until its address accepts connections.
 func (b *testbed) start(name string, cmd *exec.Cmd, listen string) *process {
-	logFile, err := os.OpenFile(filepath.Join(b.folder, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
-	if err != nil {
-		panic(couldNot{err.Error()})
-	}
-	cmd.Stdout = logFile
-	cmd.Stderr = logFile
-	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := cmd.Start(); err != nil {
-		panic(couldNot{err.Error()})
-	}
-	_ = logFile.Close()
-	started := &process{name: name, cmd: cmd, done: make(chan struct{})}
-	go func() {
-		_ = cmd.Wait()
-		close(started.done)
-	}()
-	b.mu.Lock()
-	b.started = append(b.started, started)
-	b.mu.Unlock()
-	b.note("instance %s started, process %d, %s", name, cmd.Process.Pid, listen)
+	started := b.run(name, cmd)
 	for deadline := time.Now().Add(15 * time.Second); time.Now().Before(deadline); {
 		conn, err := net.DialTimeout("tcp", listen, time.Second)
 		if err == nil {
@@ -249,6 +230,31 @@
 	}
 }
 
+// run starts a process, with its output in the temporary folder.
+func (b *testbed) run(name string, cmd *exec.Cmd) *process {
+	logFile, err := os.OpenFile(filepath.Join(b.folder, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		panic(couldNot{err.Error()})
+	}
+	cmd.Stdout = logFile
+	cmd.Stderr = logFile
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		panic(couldNot{err.Error()})
+	}
+	_ = logFile.Close()
+	started := &process{name: name, cmd: cmd, done: make(chan struct{})}
+	go func() {
+		_ = cmd.Wait()
+		close(started.done)
+	}()
+	b.mu.Lock()
+	b.started = append(b.started, started)
+	b.mu.Unlock()
+	b.note("%s started, process %d: %s", name, cmd.Process.Pid, filepath.Base(cmd.Path)+" "+cmd.Args[1])
+	return started
+}
+
 // kill ends a process by SIGKILL and waits for its end.
 func (b *testbed) kill(p *process) {
 	b.note("instance %s: SIGKILL", p.name)
