--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -57,6 +57,7 @@
 		"hung-proxy":     hungProxy,
 		"governor-lost":  governorLost,
 		"platform-lost":  platformLost,
+		"two-halves":     twoHalves,
 		"silent-hall":    silentHall,
 		"corrected-file": correctedFile,
 		"same-life":      sameLife,
--- a/review/standin2/platform.go
+++ b/review/standin2/platform.go
@@ -25,6 +25,9 @@
 	reportLateness = 600 * time.Millisecond
 	protocolSlack  = 300 * time.Millisecond
 	signOfLife     = 2 * time.Second
+
+	linesPerSecond  = 3000
+	messageOverhead = 6
 )
 
 // host is a replica in discovery's list.
@@ -200,8 +203,30 @@
 	zones   []string
 	proxies []*platformProxy
 
-	mu  sync.Mutex
-	met map[string]map[string]int // attempts since the last report, by site and replica
+	mu          sync.Mutex
+	met         map[string]map[string]int // attempts since the last report, by site and replica
+	channelFree time.Time                 // when the governor's channel has written the messages that came so far
+}
+
+// delay returns when a message that comes now is in force: the governor's channel writes one after another, at the pace of
+// the settings, and each then takes the transit.
+func (f *platformFleet) delay(parts [][]string) time.Time {
+	lines := messageOverhead
+	for _, part := range parts {
+		lines += len(split(field(part, "lines"))) + len(split(field(part, "out"))) + len(split(field(part, "back")))
+		for _, name := range []string{"whole", "level", "ticket"} {
+			if field(part, name) != "" {
+				lines++
+			}
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if now := time.Now(); f.channelFree.Before(now) {
+		f.channelFree = now
+	}
+	f.channelFree = f.channelFree.Add(time.Duration(lines) * time.Second / linesPerSecond)
+	return f.channelFree.Add(transit)
 }
 
 // platformProxy is a sound proxy of PROTOCOL. It keeps its table and what it shuts out across streams.
@@ -220,6 +245,10 @@
 	messages  int
 	usedUntil map[string]time.Duration
 	sent      []sending
+	refused   int // requests that found no replica to pick while the proxy was joined
+	isBare    bool
+	bareFrom  time.Duration
+	bare      []span // joined, without a replica to pick
 }
 
 func newPlatformFleet(bed *testbed, address string, zones []string) *platformFleet {
@@ -246,6 +275,21 @@
 	return p
 }
 
+// all returns a condition that holds once it holds for each proxy.
+func (f *platformFleet) all(holds func(*platformProxy) bool) func() bool {
+	return func() bool {
+		for _, p := range f.proxies {
+			p.mu.Lock()
+			ok := holds(p)
+			p.mu.Unlock()
+			if !ok {
+				return false
+			}
+		}
+		return true
+	}
+}
+
 func words(texts ...string) []byte {
 	var encoded strings.Builder
 	fmt.Fprintf(&encoded, "*%d\r\n", len(texts))
@@ -304,6 +348,7 @@
 	}
 	p.joined = true
 	p.joinedAt = p.fleet.bed.now()
+	p.updateBare()
 	p.mu.Unlock()
 	_, _ = conn.Write(words("joined", "id", strconv.Itoa(p.id), "site", p.site, "rps", fmt.Sprintf("%.1f", p.rate),
 		"new", fresh))
@@ -325,7 +370,7 @@
 			continue
 		}
 		cameAt := time.Now()
-		time.Sleep(transit)
+		time.Sleep(time.Until(p.fleet.delay(parts)))
 		if ticket := p.apply(parts); ticket != "" {
 			_, _ = conn.Write(words("applied", "id", strconv.Itoa(p.id), "seq", ticket, "ms",
 				fmt.Sprintf("%.1f", float64(time.Since(cameAt).Microseconds())/1000)))
@@ -335,6 +380,7 @@
 	close(stop)
 	p.mu.Lock()
 	p.joined = false
+	p.updateBare()
 	p.mu.Unlock()
 	p.log("its stream ended")
 }
@@ -395,9 +441,25 @@
 			p.usedUntil[name] = now
 		}
 	}
+	p.updateBare()
 	return ticket
 }
 
+// updateBare begins or ends a span in which the proxy is joined and has nothing to pick; p.mu is held.
+func (p *platformProxy) updateBare() {
+	bare := p.joined && len(p.usable()) == 0
+	now := p.fleet.bed.now()
+	switch {
+	case bare && !p.isBare:
+		p.bareFrom = now
+		p.log("nothing to pick")
+	case !bare && p.isBare:
+		p.bare = append(p.bare, span{p.bareFrom, now})
+		p.log("a replica to pick again, or left, after %.3f s", (now - p.bareFrom).Seconds())
+	}
+	p.isBare = bare
+}
+
 func split(text string) []string {
 	if text == "" {
 		return nil
@@ -427,6 +489,8 @@
 			replica := p.pick()
 			if replica != "" {
 				p.sent = append(p.sent, sending{p.fleet.bed.now(), replica, 1})
+			} else if p.joined {
+				p.refused++
 			}
 			p.mu.Unlock()
 			p.fleet.mu.Lock()
--- a/review/standin2/platformcases.go
+++ b/review/standin2/platformcases.go
@@ -72,17 +72,9 @@
 		site := zones[i%len(zones)]
 		fleet.add(site, 2, namesOf(hosts, site)[:6])
 	}
-	b.waitFor("all proxies hold a table that was ordered", 30*time.Second, func() bool {
-		for _, p := range fleet.proxies {
-			p.mu.Lock()
-			ordered := p.ordered
-			p.mu.Unlock()
-			if !ordered {
-				return false
-			}
-		}
-		return true
-	})
+	b.waitFor("all proxies hold a table that was ordered", 30*time.Second, fleet.all(func(p *platformProxy) bool {
+		return p.ordered
+	}))
 	b.sleepUntil(20 * time.Second)
 	if b.trouble {
 		b.kill(instance)
@@ -92,17 +84,7 @@
 		b.platform("n1", b.write("n1.json",
 			platformConfig(listen, discovery.address, "8c1f30d27a5be965", proxyCount, zones, known)), listen)
 	}
-	b.waitFor("all proxies are joined", 15*time.Second, func() bool {
-		for _, p := range fleet.proxies {
-			p.mu.Lock()
-			joined := p.joined
-			p.mu.Unlock()
-			if !joined {
-				return false
-			}
-		}
-		return true
-	})
+	b.waitFor("all proxies are joined", 15*time.Second, fleet.all(func(p *platformProxy) bool { return p.joined }))
 	b.sleepUntil(24700 * time.Millisecond)
 	gone := namesOf(hosts, "springburn")
 	discovery.change("gone", gone...)
@@ -118,3 +100,76 @@
 	judgePlatformDrain(b, fleet.proxies, drained, toldAt)
 	b.copyLog("n1", "serving", "safe mode", "statistics", "silent", "closed")
 }
+
+// twoHalves: half of the replicas drain for 6 s, and 3 s later the other half. TROUBLE=0 leaves the other half out.
+func twoHalves(b *testbed) {
+	const proxyCount = 400
+	zones := []string{"govan", "partick", "dalmarnock", "springburn"}
+	hosts := hostsOf(zones, 5)
+	discovery := startDiscovery(b, hosts)
+	listen := freeAddress()
+	known, _ := discovery.since(0)
+	config := b.write("n1.json", platformConfig(listen, discovery.address, "8c1f30d27a5be964", proxyCount, zones, known))
+	b.platform("n1", config, listen)
+	fleet := newPlatformFleet(b, listen, zones)
+	for i := range proxyCount {
+		site := zones[i%len(zones)]
+		fleet.add(site, 2, namesOf(hosts, site)[:5])
+	}
+	b.waitFor("all proxies hold a table that was ordered", 30*time.Second, fleet.all(func(p *platformProxy) bool {
+		return p.ordered
+	}))
+	var first, second []string
+	for i, h := range hosts {
+		if i < len(hosts)/2 {
+			first = append(first, h.Host)
+		} else {
+			second = append(second, h.Host)
+		}
+	}
+	b.sleepUntil(15 * time.Second)
+	discovery.change("draining", first...)
+	b.sleepUntil(21 * time.Second)
+	discovery.change("ready", first...)
+	if b.trouble {
+		b.sleepUntil(24 * time.Second)
+		discovery.change("draining", second...)
+	}
+	b.sleepUntil(45 * time.Second)
+	if b.trouble {
+		for _, replica := range second {
+			toldAt, _ := discovery.toldAt(replica, "draining")
+			judgePlatformDrain(b, fleet.proxies, replica, toldAt)
+		}
+	}
+	judgePlatformBare(b, fleet.proxies)
+	b.copyLog("n1", "serving", "safe mode", "statistics", "silent", "closed")
+}
+
+// judgePlatformBare checks the first rule where ready and warm replicas are listed all the time: no proxy is joined without
+// a replica to pick for longer than the limit.
+func judgePlatformBare(b *testbed, proxies []*platformProxy) {
+	const limit = bareLimit + protocolSlack
+	longest, broken, refused := time.Duration(0), 0, 0
+	for _, p := range proxies {
+		p.mu.Lock()
+		p.joined = false
+		p.updateBare()
+		refused += p.refused
+		tooLong := false
+		for _, bare := range p.bare {
+			length := bare.to - bare.from
+			longest = max(longest, length)
+			tooLong = tooLong || length > limit
+		}
+		p.mu.Unlock()
+		if tooLong {
+			broken++
+		}
+	}
+	b.note("longest time of a joined proxy without a replica to pick: %.3f s of %.1f s; %d requests found no replica",
+		longest.Seconds(), limit.Seconds(), refused)
+	if broken > 0 {
+		b.breach("%d of %d joined proxies had no replica to pick for longer than %.1f s", broken, len(proxies), limit.Seconds())
+	}
+}
