--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -155,14 +156,20 @@
 // sleepUntil waits until a time since the start of the case.
 func (b *testbed) sleepUntil(at time.Duration) { time.Sleep(at - b.now()) }
 
+// Ports below those that systems usually give to outgoing connections, which could take a free one before its listener.
+const (
+	firstPort = 15_000
+	lastPort  = 32_000
+)
+
 // freeAddress returns an address on which nobody listens, for TCP and UDP.
 func freeAddress() string {
-	for range 50 {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for range 200 {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.N(lastPort-firstPort))
+		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
 		}
-		address := listener.Addr().String()
 		packets, err := net.ListenPacket("udp", address)
 		_ = listener.Close()
 		if err != nil {
