--- a/review/standin2/governorlost.go
+++ b/review/standin2/governorlost.go
@@ -21,11 +21,18 @@
 	file := instanceFile{name: name, listen: listen, registry: registry.address, zones: zones, forwarders: proxyCount}
 	config := b.write(name+".hcl", file.text())
 	instance := b.serve(name, config, listen)
+	lostReplicas := map[string]bool{}
+	for _, entry := range replicas {
+		lostReplicas[entry.replica] = entry.zone == lost
+	}
 	var proxies []*proxy
 	for i := range proxyCount {
 		zone := zones[i%len(zones)]
 		p := newProxy(b, fmt.Sprintf("%s-till-%d", zone, i), zone, []string{listen}, standing(replicas, zone))
 		p.rate = 2
+		p.failing = func(replica string, at time.Duration) bool {
+			return lostReplicas[replica] && at >= 20*time.Second
+		}
 		p.quiet = i >= 4
 		p.start()
 		proxies = append(proxies, p)
--- a/review/standin2/load.go
+++ b/review/standin2/load.go
@@ -12,7 +12,7 @@
 )
 
 // loadReports returns what the requests of the last second met: each goes to a replica drawn by weight, and takes that
-// replica's present time and some chance. p.mu is held.
+// replica's present time and some chance, or fails if that replica is lost. p.mu is held.
 func (p *proxy) loadReports() (reports []model.LoadReport) {
 	usable := p.usable()
 	sort.Strings(usable)
@@ -44,6 +44,12 @@
 		if err != nil {
 			continue
 		}
+		if p.failing(replica, p.bed.now()) {
+			reports = append(reports, model.LoadReport{
+				Replica: id, Attempts: attempts[replica], Errors: attempts[replica],
+			})
+			continue
+		}
 		mean := 0.0
 		for range attempts[replica] {
 			mean += float64(p.latency(replica, p.bed.now())) * (0.7 + 0.6*rand.Float64())
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -32,10 +32,11 @@
 	folder  string
 	program string
 
-	mu       sync.Mutex
-	record   *os.File
-	started  []*process
-	breaches int
+	mu         sync.Mutex
+	record     *os.File
+	started    []*process
+	breaches   int
+	answeredAt time.Duration // when the instance that was started last first answered
 }
 
 type process struct {
@@ -209,6 +210,7 @@
 		conn, err := net.DialTimeout("tcp", listen, time.Second)
 		if err == nil {
 			_ = conn.Close()
+			b.answeredAt = b.now()
 			return started
 		}
 		select {
--- a/review/standin2/proxy.go
+++ b/review/standin2/proxy.go
@@ -25,6 +25,7 @@
 	instances []string // addresses of the instances that it knows
 	rate      float64  // requests a second
 	latency   func(replica string, at time.Duration) time.Duration
+	failing   func(replica string, at time.Duration) bool
 	quiet     bool // its messages are not recorded one by one
 
 	mu        sync.Mutex
@@ -80,6 +81,7 @@
 	p := &proxy{
 		bed: bed, name: name, zone: zone, instances: instances, rate: 5,
 		latency:   func(string, time.Duration) time.Duration { return 100 * time.Millisecond },
+		failing:   func(string, time.Duration) bool { return false },
 		entries:   map[string]float64{},
 		withdrawn: map[string]bool{},
 		versions:  map[string]held{},
--- a/review/standin2/silenthall.go
+++ b/review/standin2/silenthall.go
@@ -27,12 +27,19 @@
 	listen := freeAddress()
 	file := instanceFile{name: "govan-1", listen: listen, registry: registry.address, zones: zones, forwarders: 12}
 	b.serve("govan-1", b.write("govan-1.hcl", file.text()), listen)
+	lostReplicas := map[string]bool{}
+	for _, entry := range replicas {
+		lostReplicas[entry.replica] = entry.zone == lost
+	}
 	var all, healthy, inLostHall []*proxy
 	for i := range 12 {
 		zone := zones[i%4]
 		p := newProxy(b, fmt.Sprintf("%s-till-%d", zone, i), zone, []string{listen}, standing(replicas, zone))
 		p.rate = 12
 		p.latency = varyingLatency
+		p.failing = func(replica string, at time.Duration) bool {
+			return b.trouble && lostReplicas[replica] && at >= hallLostAt && at < hallBackAt
+		}
 		p.start()
 		all = append(all, p)
 		if zone == lost {
