--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -94,7 +94,7 @@
 // apply withdrawals of other balancers, and has not received the withdrawals of this balancer.
 func (b *Balancer) ProxyConnected(now model.Microseconds, id model.ProxyID, zone int, expectedRate float64) {
 	b.ProxyDisconnected(now, id)
-	p := &proxy{id: id, zone: zone % b.config.Zones, expectedRate: expectedRate, state: unbound}
+	p := &proxy{id: id, zone: zone % b.config.Zones, expectedRate: expectedRate, state: unbound, connectedAt: now}
 	b.proxies = append(b.proxies, p)
 	b.proxiesByID[id] = p
 	b.binder.lastConnectedAt = now
@@ -160,6 +160,7 @@
 		b.bindProxies()
 		b.withdrawReplicas()
 		b.removeUnavailableEntries()
+		b.sendDeferred(b.binder.withdrawalsBlocked)
 		b.updateWeights()
 		b.timerFired = false
 		b.fleetChanged = false
--- a/internal/balancer/binding.go
+++ b/internal/balancer/binding.go
@@ -38,8 +38,10 @@
 	state        proxyState
 	tables       []*table // none while unbound; a second one if zone-local operations have their own tables
 
-	reserved int // entries reserved in the send window for the message being written; 0: the proxy does not get it
-	unacked  []sentMessage
+	connectedAt model.Microseconds
+	reserved    int // entries reserved in the send window for the message being written; 0: the proxy does not get it
+	deferred    deferredParts
+	unacked     []sentMessage
 	// messageDueAt is when the next message is due if messages are one interval of the pacing apart.
 	messageDueAt model.Microseconds
 }
@@ -99,13 +101,12 @@
 		if p.state != unbound {
 			continue
 		}
-		recipient := []*proxy{p}
 		cost := b.bindCost(p.zone, b.binder.bindsFirst)
 		switch {
-		case urgentByZone[p.zone] && b.window.reserve(b.now, recipient, cost, withdrawalBudget):
+		case urgentByZone[p.zone] && b.window.reserveBind(b.now, p, cost, withdrawalBudget):
 			applyEvent(b, proxyTransitions, &p.state, emptyTableSuspected, p)
-		case b.mayBindRoutinely(bindsLeft) && b.window.reserve(b.now, recipient, cost, routineBindBudget),
-			b.binder.bindsFirst && b.window.reserve(b.now, recipient, cost, urgentBindBudget):
+		case b.mayBindRoutinely(bindsLeft) && b.window.reserveBind(b.now, p, cost, routineBindBudget),
+			b.binder.bindsFirst && b.window.reserveBind(b.now, p, cost, urgentBindBudget):
 			bindsLeft--
 			applyEvent(b, proxyTransitions, &p.state, bindDue, p)
 		default:
--- a/internal/balancer/drain.go
+++ b/internal/balancer/drain.go
@@ -59,6 +59,7 @@
 // together, first withdrawals before repeated ones, and binds and weights wait until all have been sent.
 func (b *Balancer) withdrawReplicas() {
 	b.endEjectionsOfEmptyZones()
+	b.hastenDeferredWithdrawals()
 	due := b.collectWithdrawals()
 	b.binder.bindsFirst = b.bindingIsCheaper(&due)
 	b.binder.withdrawalsBlocked = false
@@ -76,6 +77,7 @@
 		b.window.messageRefusals++
 	}
 	b.sendWithdrawals(due.temporary, promptBudget, false)
+	b.binder.withdrawalsBlocked = b.binder.withdrawalsBlocked || b.urgentPartsWait()
 }
 
 // updateWithdrawalsWait ends the wait for messages if the waiting withdrawals are sent in this flush. Binds come before
@@ -93,6 +95,9 @@
 // unlisted replicas concern. All wait together: one that is sent earlier would make its recipients wait again for the
 // others.
 func (b *Balancer) messagesAllowed(due *dueWithdrawals) bool {
+	if b.config.PartialDelivery {
+		return b.partsAllowed(due)
+	}
 	isDelayed := func(r *replica) bool {
 		return !b.window.pacing.allow(b.now, b.withdrawalRecipients(r), withdrawalBudget.keepsMessage)
 	}
@@ -100,8 +105,8 @@
 	return !repeatedIsDelayed && !slices.ContainsFunc(due.first, isDelayed)
 }
 
-// withdrawalRecipients returns the proxies that get a message about the withdrawal or readmission of a replica: while a
-// proxy is unbound, all proxies.
+// withdrawalRecipients returns the proxies that get a message about the withdrawal or readmission of a replica without
+// partial delivery: while a proxy is unbound, all proxies.
 func (b *Balancer) withdrawalRecipients(r *replica) []*proxy {
 	if b.binder.unbound > 0 {
 		return b.proxies
@@ -160,7 +165,8 @@
 
 // bindingIsCheaper reports whether binds are sent before withdrawals. A bind contains all withdrawals, and costs less
 // if few proxies are unbound or many replicas are withdrawn. Proxies that are bound already are notified by
-// removeUnavailableEntries. It reports false if the message limit does not allow a bind of an unbound proxy now.
+// removeUnavailableEntries. Without partial delivery, binds also come first if a withdrawal for all proxies exceeds the
+// queue limit. It reports false if the message limit does not allow a bind of an unbound proxy now.
 func (b *Balancer) bindingIsCheaper(due *dueWithdrawals) bool {
 	messageCost := b.window.messageCost
 	messageCount := (len(due.first) + messageCost - 1) / messageCost // full messages for the first withdrawals
@@ -168,6 +174,7 @@
 	if b.safeMode.active() || messageCount+repeatedCount == 0 || b.binder.unbound == 0 {
 		return false
 	}
+	withdrawalsFit := b.config.PartialDelivery || !b.window.isTooLarge(len(b.proxies), 1, urgentShare)
 	bindCost := 0
 	for _, p := range b.proxies {
 		if p.state != unbound {
@@ -179,17 +186,24 @@
 		bindCost += messageCost + b.bindCost(p.zone, true)
 	}
 	withdrawalCost := len(b.proxies) * (messageCost*max(messageCount, 1) + len(due.first) + repeatedCount)
-	return bindCost < withdrawalCost
+	return bindCost < withdrawalCost || !withdrawalsFit
 }
 
-// sendWithdrawals sends as many withdrawals as the send window has capacity for. While a proxy is unbound, a message
-// contains up to as many withdrawals as its overhead costs, so that overhead is half of a full message. If blocking
-// is set and a message does not fit, no further withdrawals are sent: smaller messages would repeatedly use up the
-// capacity that this message waits for.
+// sendWithdrawals sends as many withdrawals as the send window has capacity for. With partial delivery each proxy gets
+// all withdrawals that concern it in one message, once it fits. Otherwise, while a proxy is unbound, a message contains
+// up to as many withdrawals as its overhead costs, so that overhead is half of a full message, but no more than fit an
+// empty queue. If blocking is set and a message does not fit, no further withdrawals are sent: smaller messages would
+// repeatedly use up the capacity that this message waits for.
 func (b *Balancer) sendWithdrawals(replicas []*replica, limits budget, blocking bool) {
+	if b.config.PartialDelivery {
+		if !b.setWithdrawnInParts(replicas, true, limits) && blocking {
+			b.binder.withdrawalsBlocked = true
+		}
+		return
+	}
 	perMessage := 1
 	if b.binder.unbound > 0 {
-		perMessage = b.window.messageCost
+		perMessage = min(b.window.messageCost, b.window.largestMessage(len(b.proxies), withdrawalBudget))
 	}
 	for chunk := range slices.Chunk(replicas, perMessage) {
 		sent := b.setWithdrawn(chunk, true, limits)
@@ -211,9 +225,7 @@
 		return false
 	}
 	for _, r := range replicas {
-		b.publisher.SetWithdrawn(r.id, withdrawn)
-		r.withdrawn = withdrawn
-		r.withdrawnAt = b.now
+		b.publishWithdrawn(r, withdrawn)
 		if b.binder.unbound > 0 {
 			b.window.ackFromAll = true
 		}
@@ -221,6 +233,13 @@
 	return true
 }
 
+func (b *Balancer) publishWithdrawn(r *replica, withdrawn bool) {
+	b.publisher.SetWithdrawn(r.id, withdrawn)
+	r.withdrawn = withdrawn
+	r.withdrawnAt = b.now
+	r.withdrawnUrgently = withdrawn && !r.listedReady()
+}
+
 // usersOf returns the proxies that use a table with a sent entry of a replica. A proxy with two tables is returned
 // once.
 func (b *Balancer) usersOf(r *replica) (users []*proxy) {
@@ -255,9 +274,17 @@
 
 // readmitReplicas readmits the withdrawn replicas that no longer need to be withdrawn.
 func (b *Balancer) readmitReplicas() {
+	var readmitted []*replica
 	for _, r := range b.replicas {
 		if r.withdrawn && !b.mustWithdraw(r) {
-			b.setWithdrawn([]*replica{r}, false, weightBudget)
+			readmitted = append(readmitted, r)
 		}
 	}
+	if b.config.PartialDelivery {
+		b.setWithdrawnInParts(readmitted, false, weightBudget)
+		return
+	}
+	for _, r := range readmitted {
+		b.setWithdrawn([]*replica{r}, false, weightBudget)
+	}
 }
--- a/internal/balancer/drain_test.go
+++ b/internal/balancer/drain_test.go
@@ -95,8 +95,11 @@
 func TestSmallWithdrawalMessageWaitsForTheLargeMessage(t *testing.T) {
 	// The overhead of a message is 9 entries, so it contains up to 9 withdrawals. With the last drain, 14 withdrawals
 	// are repeated, in messages of 9 and 5.
-	const drained = 13
-	fleet := startWarmFleet(t, 30, func(config *model.Config) { config.QueueLimit = 772 })
+	const (
+		drained   = 13
+		remaining = 100 // entries that stay unacknowledged for longer
+	)
+	fleet := startWarmFleet(t, 30, func(config *model.Config) { config.QueueLimit = 850 })
 	for n := 1; n <= drained; n++ {
 		fleet.drain(n)
 	}
@@ -111,11 +114,22 @@
 	fleet.advance(1, nil)
 	fleet.updates = nil
 	fleet.acknowledge(fleet.balancer.window.sequence)
+	fleet.balancer.window.unackedEntries += remaining
 	fleet.advance(1, nil) // capacity for messages to 42 proxies with 5 withdrawals each, not with 9
 	for _, update := range fleet.updates {
 		require(t, !strings.HasSuffix(update, "true"),
 			"updates sent while the large message waits: %v, want no withdrawal", fleet.updates)
 	}
+	fleet.balancer.window.unackedEntries -= remaining
+	fleet.advance(1, nil)
+	withdrawals := 0
+	for _, update := range fleet.updates {
+		if strings.HasSuffix(update, "true") {
+			withdrawals++
+		}
+	}
+	require(t, withdrawals == fleet.balancer.window.messageCost, "%d withdrawals are sent once the large message fits, "+
+		"want %d", withdrawals, fleet.balancer.window.messageCost)
 }
 
 // Proxies that connect between two ticks are notified of earlier withdrawals together at the next tick. The
--- a/internal/balancer/fakefleet_test.go
+++ b/internal/balancer/fakefleet_test.go
@@ -78,7 +78,7 @@
 	f.publishedPolicies[policy] = true
 }
 
-func (f *fakeFleet) RequestAck(sequence uint32, _ bool) {
+func (f *fakeFleet) RequestAck(sequence uint32, _ bool, _ []model.ProxyID) {
 	f.messageTimes = append(f.messageTimes, f.now)
 	if !f.acknowledges {
 		return
--- a/internal/balancer/golden_test.go
+++ b/internal/balancer/golden_test.go
@@ -142,7 +142,7 @@
 
 // RequestAck makes every connected proxy acknowledge later, or never. Proxies that did not get the message
 // acknowledge too; these acknowledgements must change nothing.
-func (tr *trace) RequestAck(sequence uint32, fromAll bool) {
+func (tr *trace) RequestAck(sequence uint32, fromAll bool, _ []model.ProxyID) {
 	tr.recordUpdate("receipt %d %t", sequence, fromAll)
 	for _, p := range tr.proxies {
 		if !p.connected || tr.random.Float64() < tr.plan.ackLoss {
--- a/internal/balancer/invariants_test.go
+++ b/internal/balancer/invariants_test.go
@@ -27,13 +27,18 @@
 }
 
 // drawRun draws a fleet and sets the limits that follow from its configuration.
-func drawRun(t *rapid.T) *randomRun {
+func drawRun(t *rapid.T, partialDelivery bool) *randomRun {
 	zones := rapid.IntRange(1, 3).Draw(t, "zones")
 	replicas := rapid.IntRange(4, 24).Draw(t, "replicas")
 	proxies := rapid.IntRange(2, 60).Draw(t, "proxies")
 	delay := model.Microseconds(rapid.IntRange(1, 300).Draw(t, "delay")) * model.Millisecond
-	// The queue limit must be at least twice the cost of urgent updates to all proxies, as in every deployment.
+	// Without partial delivery the queue limit must be at least twice the cost of urgent updates to all proxies. With it,
+	// the first bind of each zone, which is charged too little, must fit into a tenth of the queue.
 	entriesPerSecond := float64(proxies*(9+replicas)) * rapid.Float64Range(1, 4).Draw(t, "speed")
+	queueLimit := int(2 * entriesPerSecond)
+	if partialDelivery {
+		queueLimit = max(int(rapid.Float64Range(0.1, 2).Draw(t, "queue")*entriesPerSecond), 10*zones*(12+2*replicas))
+	}
 	fleet := newSimulatedFleet(t, model.Config{
 		Seed:                  rapid.Uint64().Draw(t, "seed"),
 		Operations:            invariantOperations(),
@@ -45,7 +50,7 @@
 		StandingTableSize:     6,
 		ReportPeriod:          model.Microseconds(rapid.IntRange(1, 3).Draw(t, "period")) * model.Second,
 		MessageOverhead:       rapid.IntRange(0, 8).Draw(t, "overhead"),
-		QueueLimit:            int(2 * entriesPerSecond),
+		QueueLimit:            queueLimit,
 		CrossZoneCost:         0.05,
 		UtilizationField:      -1,
 		WarmUpPeriod:          10 * model.Second,
@@ -53,6 +58,7 @@
 		MinReplicaConnections: 200,
 		MessageLimit:          rapid.SampledFrom([]int{0, 0, 8, 12, 30}).Draw(t, "message limit"),
 		MessageWindow:         10 * model.Second,
+		PartialDelivery:       partialDelivery,
 	})
 	fleet.delay = delay
 	fleet.entriesPerSecond = entriesPerSecond
@@ -61,13 +67,27 @@
 	// the queue a second time. With a message limit, a message waits for an interval of the pacing.
 	interval := newMessagePacing(fleet.config).interval
 	fleet.drainLimit = 3*model.Second + delay + 2*run.tick() + interval
+	if partialDelivery {
+		fleet.drainLimit += run.roundTrips() * (delay + run.tick())
+	}
 	// A proxy may reconnect with withdrawals of an earlier incarnation, which this incarnation does not know until it
 	// binds the proxy.
 	fleet.emptyLimit = max(4*model.Second, 3*fleet.config.ReportPeriod+model.Second) + delay + 2*run.tick() + interval
+	if partialDelivery {
+		fleet.emptyLimit += run.roundTrips() * (delay + run.tick())
+	}
 	run.replicas = fleet.addReplicas(replicas)
 	return run
 }
 
+// roundTrips is the number of times that the queue is filled and acknowledged until an update with all withdrawals has
+// been sent to all proxies in parts.
+func (c *randomRun) roundTrips() model.Microseconds {
+	const urgentEntries = 9 + 24 // overhead of a message, and all replicas
+	perQueue := max(1, c.fleet.config.QueueLimit*9/10/urgentEntries)
+	return model.Microseconds((c.proxies + perQueue - 1) / perQueue)
+}
+
 // tick is the time between two ticks.
 func (c *randomRun) tick() model.Microseconds { return c.fleet.config.ReportPeriod / ticksPerReport }
 
@@ -183,9 +203,18 @@
 // Checks the invariants on random fleets with random drains, losses, starts, broken streams, reconnects and load
 // reports, with late and lost acknowledgements. The limits follow from the configuration.
 func TestInvariantsHoldForRandomFleets(t *testing.T) {
+	checkRandomFleets(t, false)
+}
+
+// Checks the same where an update may be sent to some of its proxies now and to others later.
+func TestInvariantsHoldForRandomFleetsWithPartialDelivery(t *testing.T) {
+	checkRandomFleets(t, true)
+}
+
+func checkRandomFleets(t *testing.T, partialDelivery bool) {
 	const ticks = 75
 	rapid.Check(t, func(t *rapid.T) {
-		run := drawRun(t)
+		run := drawRun(t, partialDelivery)
 		run.start()
 		startedAt := run.fleet.now
 		for k := range ticks {
--- a/internal/balancer/loadshed.go
+++ b/internal/balancer/loadshed.go
@@ -135,7 +135,7 @@
 func (b *Balancer) adjustQuotas() {
 	b.shedder.adjustQuota(b.now, b.load.saturation)
 	policy := b.shedder.wantedRetryPolicy(&b.load)
-	if b.shedder.shouldPublish(policy) && b.window.reserve(b.now, b.proxies, len(b.shedder.quotas), quotaBudget) {
+	if b.shedder.shouldPublish(policy) && b.reserveAll(len(b.shedder.quotas), quotaBudget) {
 		b.shedder.retryPolicy = policy
 		b.publishQuotas()
 	}
--- a/internal/balancer/messagepacing.go
+++ b/internal/balancer/messagepacing.go
@@ -42,18 +42,26 @@
 	if m.interval == 0 {
 		return true
 	}
-	tolerance := model.Microseconds(m.burst-1) * m.interval
-	if keepsMessage || m.withdrawalsWait {
-		tolerance = 0
-	}
 	for _, p := range proxies {
-		if p.reserved == 0 && now < p.messageDueAt-tolerance {
+		if !m.allowProxy(now, p, keepsMessage) {
 			return false
 		}
 	}
 	return true
 }
 
+// allowProxy is allow for one proxy.
+func (m *messagePacing) allowProxy(now model.Microseconds, p *proxy, keepsMessage bool) bool {
+	if m.interval == 0 || p.reserved > 0 {
+		return true
+	}
+	tolerance := model.Microseconds(m.burst-1) * m.interval
+	if keepsMessage || m.withdrawalsWait {
+		tolerance = 0
+	}
+	return now >= p.messageDueAt-tolerance
+}
+
 // recordSent records a message to a proxy.
 func (m *messagePacing) recordSent(now model.Microseconds, p *proxy) {
 	p.messageDueAt = max(now, p.messageDueAt) + m.interval
--- a/internal/balancer/replica.go
+++ b/internal/balancer/replica.go
@@ -71,6 +71,7 @@
 
 	withdrawn              bool               // its withdrawal was sent, and no readmission since
 	withdrawnAt            model.Microseconds // when a withdrawal or readmission was last sent
+	withdrawnUrgently      bool               // its withdrawal was sent as that of a draining or unlisted replica
 	maybeWithdrawnByOthers bool               // other balancers may have withdrawn the replica
 }
 
--- a/internal/balancer/sendwindow.go
+++ b/internal/balancer/sendwindow.go
@@ -31,6 +31,8 @@
 	firstWeightsBudget = budget{1, false} // weights of a new table, which no proxy uses yet
 )
 
+func (limits budget) isUrgent() bool { return limits.queueShare >= urgentShare }
+
 // sequenceNumbers is the number of different sequence numbers. They have 16 bits on the wire.
 const sequenceNumbers = 1 << 16
 
@@ -46,6 +48,7 @@
 type sendWindow struct {
 	messageCost    int // overhead of a message
 	queueLimit     int // in entries
+	partial        bool
 	pacing         messagePacing
 	unackedEntries int      // entries that are unacknowledged or reserved
 	agedEntries    int      // entries added for the age of unacknowledged messages
@@ -61,6 +64,7 @@
 	return sendWindow{
 		messageCost: config.MessageOverhead + 1 + len(config.Operations),
 		queueLimit:  config.QueueLimit,
+		partial:     config.PartialDelivery,
 		pacing:      newMessagePacing(config),
 	}
 }
@@ -78,40 +82,93 @@
 	}
 }
 
-// reserve reserves entries for each of the given proxies if the entries may be sent now, and reports whether they may.
+// reserve reserves entries for each of the given proxies if all of them may be sent now, and reports whether they may.
 func (w *sendWindow) reserve(now model.Microseconds, proxies []*proxy, entries int, limits budget) bool {
 	if !w.pacing.allow(now, proxies, limits.keepsMessage) {
 		w.messageRefusals++
 		return false
 	}
-	total := w.unackedEntries
+	total := w.countedEntries(limits)
 	for _, p := range proxies {
-		total += entries
-		if p.reserved == 0 {
-			total += w.messageCost
-		}
+		total += w.cost(p, entries)
 	}
-	if len(proxies) > 0 && w.exceedsQueue(total, limits.queueShare) {
+	if len(proxies) > 0 && w.exceedsQueue(total, w.attainableShare(len(proxies), entries, limits)) {
 		w.queueRefusals++
 		return false
 	}
 	for _, p := range proxies {
-		if p.reserved == 0 {
-			p.reserved = w.messageCost
-			w.recipients = append(w.recipients, p)
-		}
-		p.reserved += entries
+		w.take(p, entries)
 	}
-	w.unackedEntries = total
 	return true
 }
 
-// exceedsQueue reports whether entries exceed a share of the queue limit. Aged entries count too, except for urgent
+// reserveBind reserves entries for a bind of a proxy. A bind contains the complete state of the proxy, and so all that
+// was deferred for it.
+func (w *sendWindow) reserveBind(now model.Microseconds, p *proxy, entries int, limits budget) bool {
+	deferred := p.deferred
+	p.deferred = deferredParts{}
+	reserved := w.reserve(now, []*proxy{p}, entries, limits)
+	if !reserved {
+		p.deferred = deferred
+	}
+	return reserved
+}
+
+// countedEntries are the entries that count against the share of an update. Aged entries count too, except for urgent
 // updates.
-func (w *sendWindow) exceedsQueue(entries int, share float64) bool {
-	if share < urgentShare {
-		entries += w.agedEntries
+func (w *sendWindow) countedEntries(limits budget) int {
+	if limits.isUrgent() {
+		return w.unackedEntries
 	}
+	return w.unackedEntries + w.agedEntries
+}
+
+// cost is what a message with further entries to a proxy adds to the queue: what was deferred for the proxy is sent
+// too.
+func (w *sendWindow) cost(p *proxy, entries int) int {
+	cost := entries + p.deferred.entries
+	if p.reserved == 0 {
+		cost += w.messageCost
+	}
+	return cost
+}
+
+// take reserves entries for a proxy, together with what was deferred for it.
+func (w *sendWindow) take(p *proxy, entries int) {
+	cost := w.cost(p, entries)
+	if p.reserved == 0 {
+		w.recipients = append(w.recipients, p)
+	}
+	p.reserved += cost
+	p.deferred = deferredParts{}
+	w.unackedEntries += cost
+}
+
+// attainableShare is the share of the queue limit that an update to a number of proxies may fill. An update that
+// exceeds its own share in an empty queue may fill the next larger one, as it would never be sent otherwise.
+func (w *sendWindow) attainableShare(proxyCount, entries int, limits budget) float64 {
+	share := limits.queueShare
+	for _, larger := range []float64{promptShare, urgentShare} {
+		if larger > share && w.isTooLarge(proxyCount, entries, share) {
+			share = larger
+		}
+	}
+	return share
+}
+
+// isTooLarge reports whether messages to a number of proxies, with some entries each, exceed a share of the queue limit
+// even if nothing else is unacknowledged.
+func (w *sendWindow) isTooLarge(proxyCount, entries int, share float64) bool {
+	return float64(proxyCount*(w.messageCost+entries)) > share*float64(w.queueLimit)
+}
+
+// largestMessage is the number of entries that messages to a number of proxies may have in an empty queue; at least 1.
+func (w *sendWindow) largestMessage(proxyCount int, limits budget) int {
+	return max(1, int(limits.queueShare*float64(w.queueLimit))/max(proxyCount, 1)-w.messageCost)
+}
+
+// exceedsQueue reports whether entries exceed a share of the queue limit.
+func (w *sendWindow) exceedsQueue(entries int, share float64) bool {
 	return float64(entries) > share*float64(w.queueLimit)
 }
 
@@ -145,10 +202,21 @@
 	p.unacked = p.unacked[count:]
 }
 
+// recipientIDs returns the proxies that get the message being written, or nil without partial delivery.
+func (w *sendWindow) recipientIDs() (ids []model.ProxyID) {
+	if !w.partial {
+		return nil
+	}
+	for _, p := range w.recipients {
+		ids = append(ids, p.id)
+	}
+	return ids
+}
+
 // finishMessage requests an acknowledgement of the updates published since the last message, if there are any.
 func (b *Balancer) finishMessage() {
 	if len(b.window.recipients) > 0 {
-		b.publisher.RequestAck(b.window.nextSequence(), b.window.ackFromAll)
+		b.publisher.RequestAck(b.window.nextSequence(), b.window.ackFromAll, b.window.recipientIDs())
 		b.window.ackFromAll = false
 	}
 	b.window.recordSent(b.now)
--- a/internal/balancer/simulatedfleet_test.go
+++ b/internal/balancer/simulatedfleet_test.go
@@ -1,6 +1,7 @@
 package balancer
 
 import (
+	"maps"
 	"slices"
 
 	"peppervale/internal/model"
@@ -28,6 +29,7 @@
 	delay            model.Microseconds // from sending a message to its arrival
 	channelIdleAt    model.Microseconds
 	pendingMessages  map[model.ProxyID]*simulatedMessage // messages being written, by proxy
+	recipients       []model.ProxyID                     // with partial delivery: whose messages are sent in this flush
 	queue            []*simulatedMessage
 	inFlight         []*simulatedMessage
 
@@ -56,7 +58,8 @@
 	emptySince  model.Microseconds
 	sentAt      []model.Microseconds // when the messages of the current stream were written
 	table       model.TableID
-	bound       bool // the balancer has bound it in this stream
+	bound       bool                     // the balancer has bound it in this stream
+	notified    map[model.ReplicaID]bool // replicas whose withdrawal its messages of this stream contain
 }
 
 // simulatedMessage is a message to a proxy, which applies its changes when it arrives.
@@ -129,6 +132,9 @@
 		}
 	}
 	for p := range f.users[table] {
+		if !known {
+			f.proxies[p].notified[changedReplica] = withdrawn
+		}
 		message := f.messageTo(p)
 		message.cost++
 		message.changes = append(message.changes, apply)
@@ -152,20 +158,6 @@
 	message := f.messageTo(id)
 	message.binds = true
 	message.readmitted = len(readmitted)
-	message.changes = append(message.changes, func(p *simulatedProxy) { f.applyTable(p, table) })
-}
-
-// applyTable replaces the entries of a proxy by the entries of a table, and the withdrawals of the proxy by the
-// withdrawals of the balancer.
-func (f *simulatedFleet) applyTable(p *simulatedProxy, table model.TableID) {
-	clear(p.weights)
-	clear(p.withdrawn)
-	for r, weight := range f.tables[table] {
-		p.weights[r] = weight
-	}
-	for r := range f.withdrawn {
-		p.withdrawn[r] = true
-	}
 }
 
 func (f *simulatedFleet) SetWithdrawn(changedReplica model.ReplicaID, withdrawn bool) {
@@ -177,9 +169,11 @@
 	apply := func(p *simulatedProxy) { p.withdrawn[changedReplica] = withdrawn }
 	for id, p := range f.proxies {
 		_, hasEntry := f.tables[p.table][changedReplica]
-		if !p.connected || p.bound && !hasEntry {
+		isKnown := f.config.PartialDelivery && withdrawn && p.notified[changedReplica]
+		if !p.connected || p.bound && !hasEntry || isKnown {
 			continue
 		}
+		p.notified[changedReplica] = withdrawn
 		message := f.messageTo(id)
 		message.cost++
 		message.changes = append(message.changes, apply)
@@ -198,35 +192,44 @@
 	}
 }
 
-func (f *simulatedFleet) RequestAck(sequence uint32, all bool) {
+func (f *simulatedFleet) RequestAck(sequence uint32, all bool, recipients []model.ProxyID) {
+	f.recipients = recipients
+	if f.config.PartialDelivery {
+		for _, id := range recipients {
+			f.requestAck(f.messageTo(id), sequence)
+		}
+		return
+	}
 	for id, p := range f.proxies {
 		if all && p.connected {
 			f.messageTo(id)
 		}
 	}
 	for _, message := range f.pendingMessages {
-		message.sequence = sequence
-		message.requestsAck = true
-		message.cost++
+		f.requestAck(message, sequence)
 	}
 }
 
+func (f *simulatedFleet) requestAck(message *simulatedMessage, sequence uint32) {
+	message.sequence = sequence
+	message.requestsAck = true
+	message.cost++
+}
+
 func (f *simulatedFleet) SetTimer(model.Microseconds) {}
 func (f *simulatedFleet) Subscribe()                  {}
 func (f *simulatedFleet) Log(string)                  {}
 
 // flush flushes the balancer and queues its messages, ordered by proxy.
 func (f *simulatedFleet) flush() {
+	f.recipients = nil
 	f.balancer.Flush(f.now)
-	ids := make([]model.ProxyID, 0, len(f.pendingMessages))
-	for p := range f.pendingMessages {
-		ids = append(ids, p)
-	}
-	slices.Sort(ids)
-	for _, p := range ids {
+	for _, p := range f.proxiesToSend() {
 		message := f.pendingMessages[p]
+		delete(f.pendingMessages, p)
 		if message.binds {
 			message.cost = f.bindCost(message)
+			f.completeBind(message)
 		}
 		span := model.Microseconds(float64(message.cost) / f.entriesPerSecond * float64(model.Second))
 		f.channelIdleAt = max(f.channelIdleAt, f.now) + span
@@ -234,7 +237,6 @@
 		f.queue = append(f.queue, message)
 		f.checkMessageLimit(p)
 	}
-	clear(f.pendingMessages)
 	queuedEntries := 0
 	for _, message := range f.queue {
 		queuedEntries += message.cost
@@ -244,6 +246,26 @@
 	}
 }
 
+// proxiesToSend returns the proxies whose messages are sent in this flush, in order.
+func (f *simulatedFleet) proxiesToSend() []model.ProxyID {
+	if f.config.PartialDelivery {
+		return slices.Sorted(slices.Values(f.recipients))
+	}
+	return slices.Sorted(maps.Keys(f.pendingMessages))
+}
+
+// completeBind gives a message that binds its proxy the table and the withdrawals as they are when it is sent.
+func (f *simulatedFleet) completeBind(message *simulatedMessage) {
+	weights := maps.Clone(f.tables[f.proxies[message.to].table])
+	withdrawn := maps.Clone(f.withdrawn)
+	message.changes = []func(*simulatedProxy){func(p *simulatedProxy) {
+		clear(p.weights)
+		maps.Copy(p.weights, weights)
+		clear(p.withdrawn)
+		maps.Copy(p.withdrawn, withdrawn)
+	}}
+}
+
 // bindCost returns the cost of a message that binds its proxy. It contains each entry of the table once, the quotas and
 // the withdrawals of the replicas in the table, whatever was published in the same flush.
 func (f *simulatedFleet) bindCost(message *simulatedMessage) int {
@@ -402,6 +424,7 @@
 	p.bound = false
 	p.emptySince = never
 	p.sentAt = nil
+	p.notified = map[model.ReplicaID]bool{}
 	p.stream++
 	f.balancer.ProxyConnected(f.now, id, p.zone, 5)
 }
@@ -433,6 +456,7 @@
 	for _, users := range f.users {
 		delete(users, id)
 	}
+	delete(f.pendingMessages, id)
 	isToProxy := func(message *simulatedMessage) bool { return message.to == id }
 	f.queue = slices.DeleteFunc(f.queue, isToProxy)
 	f.inFlight = slices.DeleteFunc(f.inFlight, isToProxy)
@@ -447,6 +471,7 @@
 	}
 	f.queue = nil
 	f.inFlight = nil
+	clear(f.pendingMessages)
 	f.channelIdleAt = 0
 	clear(f.tables)
 	clear(f.users)
--- a/internal/balancer/step_bench_test.go
+++ b/internal/balancer/step_bench_test.go
@@ -20,7 +20,7 @@
 func (p *benchPublisher) BindProxy(model.ProxyID, model.TableID, uint16, []model.ReplicaID) {}
 func (p *benchPublisher) SetWithdrawn(model.ReplicaID, bool)                                {}
 func (p *benchPublisher) SetQuota(uint16, float64, model.RetryPolicy)                       {}
-func (p *benchPublisher) RequestAck(sequence uint32, _ bool) {
+func (p *benchPublisher) RequestAck(sequence uint32, _ bool, _ []model.ProxyID) {
 	p.sequence = sequence
 	p.ackDue = true
 }
--- a/internal/balancer/subset.go
+++ b/internal/balancer/subset.go
@@ -90,6 +90,12 @@
 	return n
 }
 
+// hasSentOpenEntry reports whether the table as sent contains an open entry. Without one its users have nothing to
+// pick.
+func (t *table) hasSentOpenEntry() bool {
+	return slices.ContainsFunc(t.entries, func(e *entry) bool { return e.replica.inUse() && !e.isNew() })
+}
+
 // missingEntries is the number of open entries that a table lacks; negative if the table has more than wanted.
 func (t *table) missingEntries() int { return t.wantedEntries - t.openEntries() }
 
--- a/internal/balancer/weights.go
+++ b/internal/balancer/weights.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"peppervale/internal/model"
 )
@@ -169,7 +170,7 @@
 
 // updateWeights changes the weights once in a report period. If a table does not fit the send window, the next update
 // begins with that table. Weights reduced by a slow start are sent at once, and so are new entries of a table with
-// fewer than minOpenEntries open entries.
+// fewer than minOpenEntries open entries, or without any that was sent.
 func (b *Balancer) updateWeights() {
 	due := b.weightsDue()
 	if due {
@@ -188,7 +189,7 @@
 		}
 		b.weightsSentAt = b.now
 		b.extendIfOverloaded(t)
-		due = b.sendWeights(t, weightBudget, limitStep)
+		due = b.sendWeights(t, weightBudget, func(e *entry) bool { return limitStep(e) && !b.awaitsWithdrawal(e) })
 		if !due {
 			b.subsets.nextToUpdate = firstIndex + offset
 		}
@@ -205,10 +206,10 @@
 	return !b.safeMode.active() && b.timerFired && !b.binder.withdrawalsBlocked && b.now-b.weightsSentAt >= period
 }
 
-// sendUrgentWeights sends weights reduced by a slow start. If the table has few open entries, it sends new entries too,
-// and both are as urgent as withdrawals.
+// sendUrgentWeights sends weights reduced by a slow start. If the table has few open entries, or none of them has been
+// sent, it sends new entries too, and both are as urgent as withdrawals.
 func (b *Balancer) sendUrgentWeights(t *table) {
-	if t.openEntries() < minOpenEntries {
+	if t.openEntries() < minOpenEntries || !t.hasSentOpenEntry() {
 		b.sendWeights(t, withdrawalBudget, func(e *entry) bool { return e.sendAtOnce || e.isNew() })
 		return
 	}
@@ -235,12 +236,21 @@
 	return math.Abs(e.nextWeight-e.weight) >= minWeightChange*e.weight
 }
 
+// awaitsWithdrawal reports whether an entry is removed while the withdrawal of its replica is still due. With partial
+// delivery the removal may reach proxies late, and the withdrawal is sent to users of the entry only.
+func (b *Balancer) awaitsWithdrawal(e *entry) bool {
+	return b.config.PartialDelivery && e.nextWeight == 0 && !e.replica.withdrawn
+}
+
 // sendWeights sends the changed weights of the entries for which wanted returns true, and reports whether the send
 // window has capacity for them. A new entry of a withdrawn replica is not sent, as the table's proxies were not
 // notified of the withdrawal.
 func (b *Balancer) sendWeights(t *table, limits budget, wanted func(*entry) bool) bool {
 	changed, cost := b.changedWeights(t, wanted)
-	if len(changed) > 0 && !b.window.reserve(b.now, t.users, cost, limits) {
+	if largest := b.window.largestMessage(len(t.users), limits); cost > largest && !b.config.PartialDelivery {
+		changed, cost = firstChanges(changed, largest)
+	}
+	if len(changed) > 0 && !b.reserveUsers(t, cost, limits) {
 		return false
 	}
 	for _, e := range changed {
@@ -251,6 +261,29 @@
 	return true
 }
 
+// weightCost is the cost of sending an entry's weight. The withdrawal or readmission of its replica may be sent with a
+// new entry.
+func weightCost(e *entry) int {
+	if e.isNew() {
+		return 2
+	}
+	return 1
+}
+
+// firstChanges returns as many changes as cost at most largest, at least one, and their cost. New entries come first,
+// as proxies may have few others.
+func firstChanges(changed []*entry, largest int) (first []*entry, cost int) {
+	slices.SortStableFunc(changed, func(d, e *entry) int { return weightCost(e) - weightCost(d) })
+	for _, e := range changed {
+		if len(first) > 0 && cost+weightCost(e) > largest {
+			break
+		}
+		first = append(first, e)
+		cost += weightCost(e)
+	}
+	return first, cost
+}
+
 // changedWeights sets the next weight of each entry of a table. It returns the entries whose weight changes and for
 // which wanted returns true, and the cost of sending them. wanted is called after the next weight is set, and may
 // limit it as limitStep does.
@@ -265,10 +298,7 @@
 			continue
 		}
 		changed = append(changed, e)
-		cost++
-		if e.isNew() {
-			cost++ // a withdrawal or readmission of its replica may be sent with it
-		}
+		cost += weightCost(e)
 	}
 	return changed, cost
 }
--- a/internal/codec/simulator/reply.go
+++ b/internal/codec/simulator/reply.go
@@ -99,8 +99,8 @@
 	fields.uint8(uint8(policy))
 }
 
-// RequestAck implements model.Publisher.
-func (r *Reply) RequestAck(sequence uint32, fromAll bool) {
+// RequestAck implements model.Publisher. The protocol cannot address single proxies, so there are no recipients.
+func (r *Reply) RequestAck(sequence uint32, fromAll bool, _ []model.ProxyID) {
 	fields := r.appendAction(actionRequestAck)
 	fields.bool(fromAll)
 	fields.uint32(sequence)
--- a/internal/config/platform_property_test.go
+++ b/internal/config/platform_property_test.go
@@ -19,7 +19,7 @@
 func (discardingPublisher) BindProxy(model.ProxyID, model.TableID, uint16, []model.ReplicaID) {}
 func (discardingPublisher) SetWithdrawn(model.ReplicaID, bool)                                {}
 func (discardingPublisher) SetQuota(uint16, float64, model.RetryPolicy)                       {}
-func (discardingPublisher) RequestAck(uint32, bool)                                           {}
+func (discardingPublisher) RequestAck(uint32, bool, []model.ProxyID)                          {}
 func (discardingPublisher) SetTimer(model.Microseconds)                                       {}
 func (discardingPublisher) Subscribe()                                                        {}
 func (discardingPublisher) Log(string)                                                        {}
--- a/internal/console/metrics.go
+++ b/internal/console/metrics.go
@@ -76,6 +76,8 @@
 		func(m metricsState) float64 { return float64(m.view.ReadyReplicas) }),
 	gauge("list_age_seconds", "Since a whole machine list came; -1: none in this life.",
 		endpointListAge),
+	gauge("proxies_deferred", "Proxies that wait for a part of an update, as the send window has no capacity for it.",
+		func(m metricsState) float64 { return float64(m.view.DeferredProxies) }),
 	counter("list_polls_failed_total", "Failed polls of the endpoint list of which the balancer was notified.",
 		func(m metricsState) float64 { return float64(m.view.FailedPolls) }),
 	counter("list_subscriptions_total", "Subscriptions to the endpoint list that the balancer started.",
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -63,6 +63,7 @@
 // New returns a controller that is not running yet. At most reportLimit load reports a second are delivered to the
 // balancer.
 func New(config model.Config, reportLimit int, now func() model.Microseconds, log zerolog.Logger) *Controller {
+	config.PartialDelivery = true // package snapshot keeps what a proxy has not been sent
 	controller := &Controller{
 		config:        config,
 		now:           now,
--- a/internal/controller/eventloop.go
+++ b/internal/controller/eventloop.go
@@ -145,4 +145,6 @@
 	c.proxyServer.Publish(c.pending)
 }
 
-func newBatch() *snapshot.Batch { return &snapshot.Batch{AckSequence: snapshot.NoAckSequence} }
+func newBatch() *snapshot.Batch {
+	return &snapshot.Batch{AckSequence: snapshot.NoAckSequence, Partial: true}
+}
--- a/internal/controller/publisher.go
+++ b/internal/controller/publisher.go
@@ -42,9 +42,10 @@
 }
 
 // RequestAck implements model.Publisher; only the balancer calls it.
-func (c *Controller) RequestAck(sequence uint32, fromAll bool) {
+func (c *Controller) RequestAck(sequence uint32, fromAll bool, recipients []model.ProxyID) {
 	c.pending.AckSequence = int(sequence)
 	c.pending.AckFromAll = fromAll
+	c.pending.Recipients = recipients
 }
 
 // SetTimer implements model.Publisher; only the balancer calls it.
--- a/internal/controller/view.go
+++ b/internal/controller/view.go
@@ -16,6 +16,7 @@
 	ReadyReplicas    int                // replicas listed as ready
 	ListedReplicas   int                // replicas in the endpoint list
 	EndpointsAt      model.Microseconds // when the newest complete endpoint list was received; 0: none was
+	DeferredProxies  int                // proxies that wait for a part of an update, as the send window has no capacity
 	FailedPolls      uint64             // failed polls of the endpoint list of which the balancer was notified
 	Subscriptions    uint64             // subscriptions to the endpoint list that the balancer started
 	Steps            uint64             // steps taken since the start
@@ -92,6 +93,7 @@
 		ReadyReplicas:    c.endpoints.readyCount,
 		ListedReplicas:   len(c.endpoints.byID),
 		EndpointsAt:      c.endpoints.fullListAt,
+		DeferredProxies:  c.balancer.DeferredProxies(),
 		FailedPolls:      c.endpoints.failedPollCount,
 		Subscriptions:    c.endpoints.subscriptionCount,
 		Steps:            c.views.steps,
--- a/internal/model/config.go
+++ b/internal/model/config.go
@@ -27,6 +27,7 @@
 	QueueLimit      int          // entries that may be queued for sending
 	MessageLimit    int          // messages to one proxy within MessageWindow; 0: no limit
 	MessageWindow   Microseconds // period that MessageLimit applies to
+	PartialDelivery bool         // an update can be sent to some of the proxies that it concerns now, to others later
 
 	// Costs, as fractions of the total value of the requests served.
 	CrossZoneCost float64 // cost of sending every request to another zone
--- a/internal/server/statistics.go
+++ b/internal/server/statistics.go
@@ -45,6 +45,7 @@
 	return event.
 		Bool("safe_mode_ended", view.SafeModeEnded).
 		Int("ready_replicas", view.ReadyReplicas).
+		Int("deferred_proxies", view.DeferredProxies).
 		Uint64("failed_polls", view.FailedPolls).
 		Uint64("subscriptions", view.Subscriptions)
 }
--- a/internal/snapshot/state.go
+++ b/internal/snapshot/state.go
@@ -72,8 +72,8 @@
 	subscriber.unbind()
 }
 
-// Apply applies a batch to the state and returns one message for each affected subscriber. An empty batch changes
-// nothing, not even the version.
+// Apply applies a batch to the state and returns one message for each affected subscriber or, if the batch is partial,
+// for each of its recipients. An empty batch changes nothing, not even the version.
 func (s *State) Apply(batch *Batch) []Delivery {
 	if batch.Empty() {
 		return nil
@@ -82,6 +82,9 @@
 	for i := range batch.Updates {
 		s.applyUpdate(&batch.Updates[i])
 	}
+	if batch.Partial {
+		return s.deliverToRecipients(batch)
+	}
 	var deliveries []Delivery
 	for _, subscriber := range s.Subscribers {
 		if subscriber.pending != nil || batch.AckFromAll {
@@ -91,6 +94,23 @@
 	return deliveries
 }
 
+// deliverToRecipients returns one message for each recipient of a batch that is subscribed. The pending changes of the
+// other subscribers are kept, each once.
+func (s *State) deliverToRecipients(batch *Batch) (deliveries []Delivery) {
+	isRecipient := make(map[model.ProxyID]bool, len(batch.Recipients))
+	for _, proxy := range batch.Recipients {
+		isRecipient[proxy] = true
+	}
+	for _, subscriber := range s.Subscribers {
+		if isRecipient[subscriber.Proxy] {
+			deliveries = append(deliveries, s.deliver(subscriber, batch))
+		} else if subscriber.pending != nil {
+			subscriber.pending.removeDuplicates()
+		}
+	}
+	return deliveries
+}
+
 func (s *State) applyUpdate(update *Update) {
 	switch update.Kind {
 	case SetWeight:
@@ -151,7 +171,8 @@
 		s.recordWithdrawn(replica, update.Withdrawn)
 	}
 	for _, subscriber := range s.Subscribers {
-		if subscriber.mayUse(replica) {
+		isKnown := update.Withdrawn && subscriber.IsWithdrawn(replica)
+		if subscriber.mayUse(replica) && !isKnown {
 			pending := subscriber.pendingChanges()
 			pending.withdrawalChanges = append(pending.withdrawalChanges, replica)
 		}
--- a/internal/snapshot/subscriber.go
+++ b/internal/snapshot/subscriber.go
@@ -29,6 +29,15 @@
 	quotasChanged            bool              // an admission quota or retry policy was set
 }
 
+// removeDuplicates leaves each replica once in each list, so that changes that are kept for long stay bounded by the
+// number of replicas.
+func (c *changes) removeDuplicates() {
+	c.readmitted = unique(c.readmitted)
+	c.changedReplicas = unique(c.changedReplicas)
+	c.zoneLocalChangedReplicas = unique(c.zoneLocalChangedReplicas)
+	c.withdrawalChanges = unique(c.withdrawalChanges)
+}
+
 // IsWithdrawn reports whether the subscriber was sent a replica as withdrawn, and neither a readmission nor a snapshot
 // has ended that since.
 func (s *Subscriber) IsWithdrawn(replica model.ReplicaID) bool { return s.withdrawn[replica] }
--- a/internal/snapshot/update.go
+++ b/internal/snapshot/update.go
@@ -39,9 +39,14 @@
 type Batch struct {
 	Updates     []Update
 	AckSequence int                // sequence that the recipients acknowledge; NoAckSequence: none
-	AckFromAll  bool               // every subscriber gets a message and acknowledges it
+	AckFromAll  bool               // every subscriber gets a message and acknowledges it; not used if Partial is set
 	At          model.Microseconds // time of the flush, by the controller's clock
+
+	// With Partial, only the recipients get a message. Changes for other subscribers are kept until they are recipients
+	// of a later batch.
+	Partial    bool
+	Recipients []model.ProxyID
 }
 
 // Empty reports whether the batch is for no proxy.
-func (b *Batch) Empty() bool { return len(b.Updates) == 0 && !b.AckFromAll }
+func (b *Batch) Empty() bool { return len(b.Updates) == 0 && !b.AckFromAll && len(b.Recipients) == 0 }
--- a/internal/snapshot/withdrawal_test.go
+++ b/internal/snapshot/withdrawal_test.go
@@ -59,6 +59,21 @@
 	}
 }
 
+// drawUpdate draws a change of a weight, a bind, a withdrawal or a readmission.
+func drawUpdate(t *rapid.T, replicas, tables, proxies int) Update {
+	replica := byte(rapid.IntRange(1, replicas).Draw(t, "replica"))
+	table := model.TableID(rapid.IntRange(1, tables).Draw(t, "table"))
+	switch rapid.IntRange(0, 3).Draw(t, "kind") {
+	case 0:
+		return weightUpdate(table, replica, float64(rapid.IntRange(0, 2).Draw(t, "weight")))
+	case 1:
+		proxy := model.ProxyID(rapid.IntRange(0, proxies-1).Draw(t, "proxy"))
+		return Update{Kind: BindProxy, Proxy: proxy, Table: table}
+	default:
+		return withdrawalUpdate(replica, rapid.Bool().Draw(t, "withdrawn"))
+	}
+}
+
 // Guards against withdrawals that a proxy and its controller see differently: whatever is withdrawn, readmitted, added,
 // removed and bound in whatever steps, a proxy shuts out exactly those replicas of its tables that are withdrawn.
 func TestProxiesShutOutExactlyWhatIsWithdrawn(t *testing.T) {
@@ -71,23 +86,10 @@
 			state.Subscribe(proxy, "")
 			fleet[proxy] = &modelProxy{lifetime, map[model.ReplicaID]bool{}}
 		}
-		drawUpdate := func() Update {
-			replica := byte(rapid.IntRange(1, replicas).Draw(t, "replica"))
-			table := model.TableID(rapid.IntRange(1, tables).Draw(t, "table"))
-			switch rapid.IntRange(0, 3).Draw(t, "kind") {
-			case 0:
-				return weightUpdate(table, replica, float64(rapid.IntRange(0, 2).Draw(t, "weight")))
-			case 1:
-				proxy := model.ProxyID(rapid.IntRange(0, proxies-1).Draw(t, "proxy"))
-				return Update{Kind: BindProxy, Proxy: proxy, Table: table}
-			default:
-				return withdrawalUpdate(replica, rapid.Bool().Draw(t, "withdrawn"))
-			}
-		}
 		for range rapid.IntRange(1, 30).Draw(t, "steps") {
 			var updates []Update
 			for range rapid.IntRange(1, 4).Draw(t, "updates") {
-				updates = append(updates, drawUpdate())
+				updates = append(updates, drawUpdate(t, replicas, tables, proxies))
 			}
 			for _, delivery := range apply(state, updates...) {
 				fleet[delivery.Subscriber.Proxy].apply(delivery.Message)
