Bound the memory of commands on the channel that have not arrived completely

Cause: the reader takes 4 MiB and 100,000 values a message, a value of three bytes holds some hundred, and nothing counted what all connections hold. Joined peers had no time by which a command must be complete. A poller parsed up to 192 KiB of each connection before it went on, so a new connection waited for two rounds of all the others.

Change: resp.Reader tells what an unfinished message holds, connserver sums it up, and the channel has limits for one peer and for all (held_bytes 8 MiB, held_all_bytes 64 MiB, by the even share that unsent bytes have) and a time (unfinished, 10 s).

--- a/internal/codec/resp/decode.go
+++ b/internal/codec/resp/decode.go
@@ -127,8 +127,10 @@
 		if len(r.aggregates) == 0 {
 			r.valueCount = 0
 			r.messageBytes = 0
+			r.valuesHeld = 0
 			return receive(value)
 		}
+		r.valuesHeld += valueMemory + int64(len(value.Text))
 		innermost := &r.aggregates[len(r.aggregates)-1]
 		innermost.items = append(innermost.items, value)
 		innermost.remaining--
--- a/internal/codec/resp/reader.go
+++ b/internal/codec/resp/reader.go
@@ -17,6 +17,10 @@
 	// kindMarkers are the first bytes of all values that a Reader decodes.
 	kindMarkers = "+-:$*_,#!=(%~>|"
 
+	// valueMemory is what a decoded value of an unfinished message holds besides its text, in bytes: the Value, and its
+	// share of a slice that has just grown.
+	valueMemory = 128
+
 	lineEnd = "\r\n"
 )
 
@@ -32,6 +36,7 @@
 	aggregates   []aggregate // open aggregates, the outermost first
 	valueCount   int         // values in the current message
 	messageBytes int         // bytes of the current message
+	valuesHeld   int64       // memory of the decoded values of the current message, in bytes
 	offset       int64       // number of consumed bytes of the stream
 	failure      *ProtocolError
 }
@@ -46,6 +51,14 @@
 	return r.failure == nil && len(r.line) == 0 && r.payloadRemaining == 0 && len(r.aggregates) == 0
 }
 
+// HeldBytes returns the memory that the unfinished message holds, in bytes, about. It is 0 between two messages.
+func (r *Reader) HeldBytes() int64 {
+	if r.Idle() || r.failure != nil {
+		return 0
+	}
+	return int64(cap(r.line)) + int64(cap(r.payload)) + r.valuesHeld
+}
+
 // Feed decodes the next bytes of the stream and passes each complete message to receive. It stops at the first
 // error of receive and returns it. A *ProtocolError is returned at once and by every later call with data.
 func (r *Reader) Feed(data []byte, receive func(Value) error) error {
@@ -143,6 +156,7 @@
 // fail puts the Reader into its final state and returns the error.
 func (r *Reader) fail(reason string) error {
 	r.failure = &ProtocolError{Offset: r.offset, Reason: reason}
+	r.valuesHeld = 0
 	r.line = nil
 	r.payload = nil
 	r.aggregates = nil
--- a/internal/codec/resp/reader_test.go
+++ b/internal/codec/resp/reader_test.go
@@ -5,6 +5,7 @@
 	"reflect"
 	"strings"
 	"testing"
+	"unsafe"
 )
 
 // decode feeds a stream in chunks of one size and returns the messages decoded before the first error.
@@ -145,3 +146,28 @@
 		}
 	})
 }
+
+// HeldBytes counts what an unfinished message holds: its values, many times their bytes on the wire, and its texts.
+func TestHeldBytesCountUnfinishedMessage(t *testing.T) {
+	const fields = 1000
+	ignore := func(Value) error { return nil }
+	reader := NewReader(Limits{})
+	if err := reader.Feed([]byte("*1001\r\n"+strings.Repeat("$1\r\na\r\n", fields)), ignore); err != nil {
+		t.Fatal(err)
+	}
+	if held, least := reader.HeldBytes(), int64(fields*unsafe.Sizeof(Value{})); held < least {
+		t.Errorf("%d fields hold %d bytes, want at least %d", fields, held, least)
+	}
+	if err := reader.Feed([]byte("$500000\r\n"+strings.Repeat("x", 400000)), ignore); err != nil {
+		t.Fatal(err)
+	}
+	if held := reader.HeldBytes(); held < 400000 {
+		t.Errorf("a string of which 400,000 bytes came holds %d bytes", held)
+	}
+	if err := reader.Feed([]byte(strings.Repeat("x", 100000)+"\r\n"), ignore); err != nil {
+		t.Fatal(err)
+	}
+	if held := reader.HeldBytes(); held != 0 || !reader.Idle() {
+		t.Errorf("a complete message holds %d bytes, want 0", held)
+	}
+}
--- a/internal/config/channel.go
+++ b/internal/config/channel.go
@@ -19,6 +19,9 @@
 	CommandRate      float64       // commands per second from one peer
 	CommandBurst     int           // commands from one peer at once
 	GreetingTimeout  time.Duration // time within which a peer must join or subscribe
+	HeldBytes        int           // memory of one peer's command that has not arrived completely
+	TotalHeldBytes   int           // the same of all peers in total
+	CommandTimeout   time.Duration // time within which a command must arrive completely
 	JoinRate         float64       // joins per second; 0: no limit
 	JoinBurst        int           // joins at once
 	MaxProxies       int           // joined proxies in total; 0: no limit
@@ -34,6 +37,9 @@
 		CommandBurst:     b.Int("commands_burst", 2000, 2, maxCount),
 		UnsentBytes:      b.Int("unsent_bytes", 0, 0, maxUnsentBytes),
 		GreetingTimeout:  b.Duration("greeting", 0, 0, maxDuration).Duration(),
+		HeldBytes:        b.Int("held_bytes", 0, 0, maxHeldBytes),
+		TotalHeldBytes:   b.Int("held_all_bytes", 0, 0, maxTotalHeldBytes),
+		CommandTimeout:   b.Duration("unfinished", 0, 0, maxDuration).Duration(),
 		JoinRate:         b.Float("joins", 0, 0, maxCount),
 		JoinBurst:        b.Int("joins_burst", 50, 1, maxCount),
 		MaxProxies:       b.Int("joined_most", 0, 0, maxCount),
--- a/internal/config/reload.go
+++ b/internal/config/reload.go
@@ -33,7 +33,8 @@
 	{"channel: pace", func(s *Server) any { return s.ChannelRate }, "queued updates were scheduled with the old rate"},
 	{"channel: intake", func(s *Server) any { return s.ReportLimit }, ""},
 	{
-		"channel: connections, observers, unsent_bytes, unsent_all_bytes, greeting, commands, joins, joined_most",
+		"channel: connections, observers, unsent_bytes, unsent_all_bytes, greeting, held_bytes, " +
+			"held_all_bytes, unfinished, commands, joins, joined_most",
 		func(s *Server) any { return s.PeerLimits }, "",
 	},
 	{
--- a/internal/config/server.go
+++ b/internal/config/server.go
@@ -16,6 +16,8 @@
 	maxPriorityWeight   = 1e9
 	maxUnsentBytes      = 1 << 30
 	maxTotalUnsentBytes = 1 << 40
+	maxHeldBytes        = 1 << 30
+	maxTotalHeldBytes   = 1 << 40
 )
 
 // Server is the configuration file of an instance.
--- a/internal/netpoll/connserver/server.go
+++ b/internal/netpoll/connserver/server.go
@@ -46,6 +46,7 @@
 	routines sync.WaitGroup
 
 	unsentBytes atomic.Int64 // of all registered connections
+	heldBytes   atomic.Int64 // of all registered connections
 
 	// guarded by lock
 	sessions     map[*nbio.Conn]S
@@ -133,6 +134,7 @@
 	}
 	delete(s.sessions, conn.socket)
 	s.unsentBytes.Add(-conn.unsentBytes.Swap(0))
+	s.heldBytes.Add(-conn.heldBytes.Swap(0))
 	return true
 }
 
@@ -166,6 +168,17 @@
 // UnsentBytes returns the number of unsent bytes of all registered connections.
 func (s *Server[S]) UnsentBytes() int64 { return s.unsentBytes.Load() }
 
+// SetHeldBytes sets the memory that a connection's unfinished message holds; the lock is held. It has no effect on a
+// connection that is not registered.
+func (s *Server[S]) SetHeldBytes(session S, held int64) {
+	if s.Registered(session) {
+		s.heldBytes.Add(held - session.base().heldBytes.Swap(held))
+	}
+}
+
+// HeldBytes returns the memory that unfinished messages of all registered connections hold.
+func (s *Server[S]) HeldBytes() int64 { return s.heldBytes.Load() }
+
 // CloseOnPoller closes each connection on its poller's goroutine, between two reads.
 func (s *Server[S]) CloseOnPoller(sessions ...S) {
 	for _, session := range sessions {
--- a/internal/netpoll/connserver/server_test.go
+++ b/internal/netpoll/connserver/server_test.go
@@ -28,7 +28,7 @@
 
 func startServer(t *testing.T) *testServer {
 	t.Helper()
-	server := &testServer{opened: make(chan *testSession, 1), closed: make(chan *testSession, 1)}
+	server := &testServer{opened: make(chan *testSession, 1), closed: make(chan *testSession, 2)}
 	server.Server = New(&server.mu, Handlers[*testSession]{
 		Opened: func(socket *nbio.Conn) {
 			session := &testSession{}
@@ -117,6 +117,30 @@
 	}
 }
 
+// TestHeldBytesAreCountedUntilUnregistered: The memory of unfinished messages counts for the connection and in total
+// until the connection is unregistered.
+func TestHeldBytesAreCountedUntilUnregistered(t *testing.T) {
+	server := startServer(t)
+	netpolltest.Dial(t, server.Addr(), waitTimeout)
+	first := <-server.opened
+	netpolltest.Dial(t, server.Addr(), waitTimeout)
+	second := <-server.opened
+	server.mu.Lock()
+	defer server.mu.Unlock()
+	server.SetHeldBytes(first, 500)
+	server.SetHeldBytes(second, 20)
+	server.SetHeldBytes(first, 100)
+	if first.HeldBytes() != 100 || server.HeldBytes() != 120 {
+		t.Errorf("%d bytes are held for the first connection, %d in total, want 100 and 120",
+			first.HeldBytes(), server.HeldBytes())
+	}
+	server.Unregister(first)
+	server.SetHeldBytes(first, 1000)
+	if server.HeldBytes() != 20 {
+		t.Errorf("%d bytes are held once the first connection is unregistered, want 20", server.HeldBytes())
+	}
+}
+
 // TestCloseEndsRoutinesAndConnections: Close ends background routines and all connections, and may be called again.
 func TestCloseEndsRoutinesAndConnections(t *testing.T) {
 	server := startServer(t)
--- a/internal/netpoll/engine.go
+++ b/internal/netpoll/engine.go
@@ -10,6 +10,13 @@
 	"github.com/lesismal/nbio/logging"
 )
 
+// A poller reads from each connection that has data a bounded number of bytes in one round, so that hundreds of peers
+// that write without pause delay the others, and connections that have just been accepted, by little.
+const (
+	bytesPerRead  = 16 << 10
+	readsPerRound = 1
+)
+
 // Handlers receive a connection's events on the engine's goroutines; nil handlers are not called.
 type Handlers struct {
 	// Open is called for a new connection before any of its data is read.
@@ -77,7 +84,12 @@
 // goroutines have begun never stops and keeps a core busy, because each goroutine clears its stop flag when it begins.
 // Each poller gets a pollerLoop, whose connection lets the poller run scheduled tasks.
 func (e *Engine) startPollers(pollers int, handlers Handlers) error {
-	nbioEngine := nbio.NewEngine(nbio.Config{Network: "tcp", NPoller: pollers})
+	nbioEngine := nbio.NewEngine(nbio.Config{
+		Network:                      "tcp",
+		NPoller:                      pollers,
+		ReadBufferSize:               bytesPerRead,
+		MaxConnReadTimesPerEventLoop: readsPerRound,
+	})
 	setHandlers(nbioEngine, handlers)
 	for poller := range pollers {
 		loop, err := newPollerLoop(poller, pollers)
--- a/internal/pubsub/command.go
+++ b/internal/pubsub/command.go
@@ -38,6 +38,10 @@
 
 // handleCommand handles one command.
 func (c *connection) handleCommand(value resp.Value) error {
+	if c.Ended() {
+		return errEnded
+	}
+	c.commandCount++
 	if value.Kind != resp.Array || len(value.Items) == 0 {
 		return errMalformedCommand
 	}
--- a/internal/pubsub/config.go
+++ b/internal/pubsub/config.go
@@ -17,11 +17,14 @@
 	TotalUnsentBytes int            // unsent for all peers before the changes of the slowest are folded
 	GreetingTimeout  time.Duration  // within which a peer joins or subscribes
 	CommandRate      admission.Rate // of one peer; above it, the peer gets a retry delay and its connection is closed
+	HeldBytes        int            // memory of one peer's unfinished command; more ends the connection
+	TotalHeldBytes   int            // the same for all peers; beyond it peers above their even share get a retry delay
+	CommandTimeout   time.Duration  // within which a command arrives completely after its first bytes
 }
 
 // DefaultLimits are suitable for some thousand proxies: 64 KiB hold a table of 2,000 entries. All peers together may
-// have 256 MiB unsent. A proxy sends one load report each report period and one acknowledgement for
-// each message, so 200 commands a second are twenty times what it needs.
+// have 256 MiB unsent. A proxy sends one load report each report period and one acknowledgement for each message, so
+// 200 commands a second are twenty times what it needs. A load report on 2,000 replicas holds 2 MiB while it arrives.
 var DefaultLimits = Limits{
 	Connections:      8192,
 	Observers:        256,
@@ -29,6 +32,9 @@
 	TotalUnsentBytes: 256 << 20,
 	GreetingTimeout:  5 * time.Second,
 	CommandRate:      admission.Rate{PerSecond: 200, Burst: 2000},
+	HeldBytes:        8 << 20,
+	TotalHeldBytes:   64 << 20,
+	CommandTimeout:   10 * time.Second,
 }
 
 // withDefaults replaces missing values by those of DefaultLimits.
@@ -37,26 +43,31 @@
 	l.Observers = positiveOr(l.Observers, DefaultLimits.Observers)
 	l.UnsentBytes = positiveOr(l.UnsentBytes, DefaultLimits.UnsentBytes)
 	l.TotalUnsentBytes = positiveOr(l.TotalUnsentBytes, DefaultLimits.TotalUnsentBytes)
-	if l.GreetingTimeout <= 0 {
-		l.GreetingTimeout = DefaultLimits.GreetingTimeout
-	}
+	l.GreetingTimeout = positiveOr(l.GreetingTimeout, DefaultLimits.GreetingTimeout)
+	l.HeldBytes = positiveOr(l.HeldBytes, DefaultLimits.HeldBytes)
+	l.TotalHeldBytes = positiveOr(l.TotalHeldBytes, DefaultLimits.TotalHeldBytes)
+	l.CommandTimeout = positiveOr(l.CommandTimeout, DefaultLimits.CommandTimeout)
 	if l.CommandRate.PerSecond <= 0 {
 		l.CommandRate = DefaultLimits.CommandRate
 	}
 	return l
 }
 
-func positiveOr(value, fallback int) int {
+func positiveOr[T int | time.Duration](value, fallback T) T {
 	if value > 0 {
 		return value
 	}
 	return fallback
 }
 
-func (l Limits) budget() admission.Budget {
+func (l Limits) unsentBudget() admission.Budget {
 	return admission.Budget{PerPeer: int64(l.UnsentBytes), Total: int64(l.TotalUnsentBytes)}
 }
 
+func (l Limits) heldBudget() admission.Budget {
+	return admission.Budget{PerPeer: int64(l.HeldBytes), Total: int64(l.TotalHeldBytes)}
+}
+
 // Config is a server's configuration.
 type Config struct {
 	Listen           string // host:port
--- a/internal/pubsub/connection.go
+++ b/internal/pubsub/connection.go
@@ -1,6 +1,7 @@
 package pubsub
 
 import (
+	"errors"
 	"fmt"
 	"strings"
 	"time"
@@ -23,9 +24,14 @@
 	id            uint64
 	reader        *resp.Reader
 	commandRate   admission.TokenBucket
+	commandCount  uint64 // commands that have arrived completely
 	receivedHello bool
 	isObserver    bool
 	stream        stream
+
+	// deadlineCommand is the number of the command by which a read deadline was set that ends the connection unless the
+	// command arrives completely; 0: none is set.
+	deadlineCommand uint64
 }
 
 // stream is the state of a connection on which a proxy joins. The fields join and shard are set once a JOIN was read,
@@ -57,6 +63,9 @@
 		strings.HasPrefix(reason, errorMoved)
 }
 
+// errEnded stops the reader of a connection that has ended. It is not reported.
+var errEnded = errors.New("connection has ended")
+
 func (s *Server) registerConnection(socket *nbio.Conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -74,13 +83,15 @@
 // readCommands decodes received bytes into commands. A protocol error ends the connection.
 func (s *Server) readCommands(conn *connection, data []byte) {
 	err := conn.reader.Feed(data, conn.handleCommand)
-	if err == nil {
-		return
+	switch {
+	case err == nil:
+		s.limitUnfinished(conn)
+	case !errors.Is(err, errEnded):
+		s.mu.Lock()
+		s.stats.ProtocolErrors++
+		s.endWithError(conn, "ERR "+err.Error())
+		s.mu.Unlock()
 	}
-	s.mu.Lock()
-	s.stats.ProtocolErrors++
-	s.endWithError(conn, "ERR "+err.Error())
-	s.mu.Unlock()
 }
 
 // endWithError sends a peer the reason why its connection ends, and closes the connection; s.mu is held. It does
--- a/internal/pubsub/delivery.go
+++ b/internal/pubsub/delivery.go
@@ -98,7 +98,7 @@
 // exceedsUnsentBudget reports whether a peer's unsent bytes exceed the budget, so that it gets a later snapshot instead
 // of the next message; s.mu is held.
 func (s *Server) exceedsUnsentBudget(conn *connection) bool {
-	budget := s.config.Limits.budget()
+	budget := s.config.Limits.unsentBudget()
 	return budget.MustMerge(conn.UnsentBytes(), s.connections.UnsentBytes(), s.connections.Count())
 }
 
--- a/internal/pubsub/stats.go
+++ b/internal/pubsub/stats.go
@@ -22,6 +22,8 @@
 	RateLimited      uint64 `json:"put_off"`      // peers that exceeded the command rate
 	Redirected       uint64 `json:"moved"`        // peers redirected because another controller has their shard
 	Fenced           uint64 `json:"fenced"`       // messages that proxies ignored because their epoch was old
+	HeldBytes        int64  `json:"held_bytes"`   // memory of commands that have not arrived completely, now
+	OverMemory       uint64 `json:"held_put_off"` // peers that exceeded the limits on this memory
 }
 
 // Stats returns the current statistics.
@@ -40,6 +42,7 @@
 	stats.JoinsRejected = s.joins.Stats.Rejected
 	stats.JoinStorms = s.joins.Stats.Storms
 	stats.UnsentBytes = s.connections.UnsentBytes()
+	stats.HeldBytes = s.connections.HeldBytes()
 	return stats
 }
 
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -60,6 +60,9 @@
 		UnsentBytes:      limits.UnsentBytes,
 		TotalUnsentBytes: limits.TotalUnsentBytes,
 		GreetingTimeout:  limits.GreetingTimeout,
+		HeldBytes:        limits.HeldBytes,
+		TotalHeldBytes:   limits.TotalHeldBytes,
+		CommandTimeout:   limits.CommandTimeout,
 		CommandRate:      admission.Rate{PerSecond: limits.CommandRate, Burst: limits.CommandBurst},
 	}
 }
--- a/internal/server/statistics.go
+++ b/internal/server/statistics.go
@@ -36,6 +36,8 @@
 		Uint64("protocol_errors", stats.ProtocolErrors).
 		Uint64("rate_limited_peers", stats.RateLimited).
 		Int64("unsent_bytes", stats.UnsentBytes).
+		Int64("held_bytes", stats.HeldBytes).
+		Uint64("over_memory_peers", stats.OverMemory).
 		Int64("longest_step_us", int64(view.LongestStep)).
 		Msg(statisticsMessage)
 }
