Bound what half-written requests hold at the cluster's port and the console

Cause: each connection has a limit, all together have none; a request at the cluster's port could stay unfinished for good, as each byte renewed the idle timeout; the console took any number of connections.

Change: the cluster's port has the limits that the channel has (memory of unfinished requests for one connection and for all, a time for a whole request), and its number of connections is a setting. The console bounds its connections; for one more, the one that has been without a request for longest is closed, so that half-written headers go first.

--- a/internal/cluster/config.go
+++ b/internal/cluster/config.go
@@ -37,8 +37,9 @@
 	// Links lets tests and benchmarks cut links between members; nil: all are open.
 	Links Links
 	// Handover passes the controller's measurements on at planned moves.
-	Handover HandoverCallbacks
-	Log      zerolog.Logger
+	Handover   HandoverCallbacks
+	PortLimits PortLimits // zero fields: DefaultPortLimits
+	Log        zerolog.Logger
 
 	diskFault        func() error // set by tests: the error of each write to the log store, nil while it is writable
 	supportedVersion uint8        // set by tests: newest supported schema version; 0: schemaVersion
--- a/internal/cluster/status.go
+++ b/internal/cluster/status.go
@@ -19,6 +19,9 @@
 	Members       []MemberStatus     `json:"members"`
 	Shards        []ShardStatus      `json:"parts"`
 	Takeovers     []Takeover         `json:"takeovers"` // newest last; At is by the clock of the leader at that time
+
+	HeldBytes  int64  `json:"held_bytes,omitempty"`   // memory of unfinished requests at this member's cluster port
+	OverMemory uint64 `json:"held_put_off,omitempty"` // connections ended because of this memory
 }
 
 // MemberStatus is the status of one member.
@@ -70,6 +73,8 @@
 		Members:       []MemberStatus{},
 		Shards:        []ShardStatus{},
 		Takeovers:     append([]Takeover{}, state.Events...),
+		HeldBytes:     c.server.heldBytes.Load(),
+		OverMemory:    c.server.overMemory.Load(),
 	}
 	for _, member := range state.Members {
 		_, votes := voters[member.Name]
--- a/internal/cluster/transport.go
+++ b/internal/cluster/transport.go
@@ -6,11 +6,11 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/raft"
-
-	"peppervale/internal/codec/resp"
+	"github.com/rs/zerolog"
 )
 
 // The first byte of a connection states its purpose. The length and the name of the dialling member follow; operators
@@ -22,14 +22,12 @@
 
 // Limits of the port.
 const (
-	maxConnections   = 256
 	handshakeTimeout = 2 * time.Second
 	replyTimeout     = 2 * time.Second
 	idleTimeout      = time.Minute
 	acceptRetryDelay = 10 * time.Millisecond // after a failed accept: a file descriptor may be free then
-	maxRequestBytes  = 4 << 20
-	maxRequestWords  = 64
-	readBufferBytes  = 16 << 10
+
+	peerLinesPerSecond = 20 // log lines that peers cause, at most
 )
 
 // answerFunc answers one request, which has at least one word.
@@ -41,9 +39,14 @@
 	listener net.Listener
 	streams  *raftStreams
 	answer   answerFunc
-	slots    chan struct{} // one for each open connection
+	limits   PortLimits
+	log      zerolog.Logger // lines that a peer can cause at will, sampled
+	slots    chan struct{}  // one for each open connection
 	wait     sync.WaitGroup
 
+	heldBytes  atomic.Int64  // memory of all unfinished requests
+	overMemory atomic.Uint64 // connections ended because of this memory
+
 	mu     sync.Mutex
 	open   map[net.Conn]bool
 	closed bool
@@ -58,7 +61,8 @@
 		config:   config,
 		listener: listener,
 		answer:   answer,
-		slots:    make(chan struct{}, maxConnections),
+		limits:   config.PortLimits.withDefaults(),
+		log:      config.Log.Sample(&zerolog.BurstSampler{Burst: peerLinesPerSecond, Period: time.Second}),
 		open:     map[net.Conn]bool{},
 		streams: &raftStreams{
 			config:   config,
@@ -67,6 +71,7 @@
 			done:     make(chan struct{}),
 		},
 	}
+	server.slots = make(chan struct{}, server.limits.Connections)
 	server.wait.Add(1)
 	go server.acceptAll()
 	return server, nil
@@ -190,46 +195,6 @@
 	return conn, nil
 }
 
-// serveRequests answers the requests of a connection, one at a time, until the connection ends.
-func (s *portServer) serveRequests(conn net.Conn) {
-	reader := resp.NewReader(resp.Limits{
-		MessageBytes: maxRequestBytes,
-		StringBytes:  maxRequestBytes,
-		Items:        maxRequestWords,
-	})
-	buffer := make([]byte, readBufferBytes)
-	for {
-		_ = conn.SetReadDeadline(time.Now().Add(idleTimeout))
-		n, err := conn.Read(buffer)
-		if err != nil {
-			return
-		}
-		err = reader.Feed(buffer[:n], func(request resp.Value) error { return s.reply(conn, request) })
-		if err != nil {
-			_, _ = conn.Write(resp.AppendLine(nil, resp.SimpleError, errorPrefix+err.Error()))
-			return
-		}
-	}
-}
-
-func (s *portServer) reply(conn net.Conn, request resp.Value) error {
-	if request.Kind != resp.Array || len(request.Items) == 0 {
-		return errMalformedRequest
-	}
-	var words []string
-	for _, item := range request.Items {
-		words = append(words, item.ArgumentText())
-	}
-	body, err := s.answer(words)
-	reply := resp.AppendBulk(nil, string(body))
-	if err != nil {
-		reply = resp.AppendLine(nil, resp.SimpleError, errorPrefix+err.Error())
-	}
-	_ = conn.SetWriteDeadline(time.Now().Add(replyTimeout))
-	_, err = conn.Write(reply)
-	return err
-}
-
 func (s *portServer) close() {
 	s.mu.Lock()
 	s.closed = true
--- a/internal/config/cluster.go
+++ b/internal/config/cluster.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"peppervale/internal/model"
 )
@@ -36,6 +37,12 @@
 	MoveInterval        model.Microseconds // minimum time between two migrations that are not urgent
 	Capacity            float64            // maximum requests per second that this member handles; 0: no limit
 	Members             []ClusterMember
+
+	// Limits on peers of the cluster port; 0: the port's own default.
+	Connections    int           // open connections
+	HeldBytes      int           // memory of one peer's request that has not arrived completely
+	TotalHeldBytes int           // the same of all peers in total
+	RequestTimeout time.Duration // time within which a request must arrive completely
 }
 
 // ClusterMember is the name and the addresses of a member.
@@ -60,6 +67,10 @@
 	cluster.StabilizationPeriod = block.Duration("settle", 10*model.Second, 0, maxDuration)
 	cluster.MoveInterval = block.Duration("pace", 2*model.Second, 0, maxDuration)
 	cluster.Capacity = block.Float("limit", 0, 0, maxRate)
+	cluster.Connections = block.Int("connections", 0, 0, maxCount)
+	cluster.HeldBytes = block.Int("held_bytes", 0, 0, maxHeldBytes)
+	cluster.TotalHeldBytes = block.Int("held_all_bytes", 0, 0, maxTotalHeldBytes)
+	cluster.RequestTimeout = block.Duration("unfinished", 0, 0, maxDuration).Duration()
 	if cluster.MaxClockDrift >= cluster.LeaseDuration {
 		block.AddError("drift", "drift: must be shorter than span")
 	}
--- a/internal/config/reload.go
+++ b/internal/config/reload.go
@@ -42,6 +42,7 @@
 		"the replicated state of the cluster depends on these settings; restart the members one at a time",
 	},
 	{"console: listen", func(s *Server) any { return s.ConsoleAddress }, reasonSocket},
+	{"console: connections", func(s *Server) any { return s.ConsoleConnections }, reasonSocket},
 	{"machine_list", func(s *Server) any { return s.Discovery }, "the running endpoint poll uses these settings"},
 	{"fleet, rules, channel: queue, overhead, period, messages_most", remainingBalancerConfig, reasonBalancer},
 	{"fleet, rules: what only checkers read", func(s *Server) any { return s.Guarantees }, reasonBalancer},
--- a/internal/config/server.go
+++ b/internal/config/server.go
@@ -36,6 +36,7 @@
 	ShutdownGracePeriod time.Duration
 	LogLevel            string
 	ConsoleAddress      string   // address of the web console; "" for none
+	ConsoleConnections  int      // open connections of the web console; 0: the console's own default
 	Cluster             *Cluster // nil: the instance is not part of a cluster
 }
 
@@ -74,6 +75,7 @@
 
 	if console := top.SingleBlock("console", 0, false); console.Present() {
 		server.ConsoleAddress = console.Address("listen", true)
+		server.ConsoleConnections = console.Int("connections", 0, 0, maxCount)
 		console.RejectUnknown()
 	}
 	if cluster := top.SingleBlock("group", 0, false); cluster.Present() {
--- a/internal/console/comparison/server.go
+++ b/internal/console/comparison/server.go
@@ -39,7 +39,7 @@
 // Listen listens on the address, polls the controllers' consoles, and serves until Close. It fails only if it cannot
 // listen on the address.
 func Listen(address string, consoleAddresses []string, now func() model.Microseconds) (*Server, error) {
-	server, err := httpserver.Listen(address)
+	server, err := httpserver.Listen(address, httpserver.Limits{})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/console/httpserver/server.go
+++ b/internal/console/httpserver/server.go
@@ -1,6 +1,6 @@
-// Package httpserver serves read-only pages over HTTP. It limits the pages that are rendered at the same time, the
-// length of paths, and the time that a viewer may take to read a response. Each page is available as HTML and as JSON
-// under the same path.
+// Package httpserver serves read-only pages over HTTP. It limits the connections that are open, the pages that are
+// rendered at the same time, the length of paths, and the time that a viewer may take to read a response. Each page is
+// available as HTML and as JSON under the same path.
 //
 // There is no authentication. A server that listens beyond loopback shows its pages to every client that can reach it.
 package httpserver
@@ -37,25 +37,28 @@
 // Server serves pages. It is created by Listen.
 type Server struct {
 	listener  net.Listener
+	limiter   *connectionLimiter
 	http      *http.Server
 	done      chan struct{}
 	serveLoop sync.WaitGroup
 }
 
 // Listen listens on the address. The server accepts requests from the call of Serve until Close.
-func Listen(address string) (*Server, error) {
+func Listen(address string, limits Limits) (*Server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("console: %w; another process may be listening on it", err)
 	}
-	return &Server{listener: listener, done: make(chan struct{})}, nil
+	return &Server{listener: listener, limiter: newConnectionLimiter(limits), done: make(chan struct{})}, nil
 }
 
 // Serve starts to serve and returns at once. It must be called only once. The page handler responds with a page. The
 // stream handler, if any, serves /live. It may run for any time, but must return when the channel of Done is closed.
 func (s *Server) Serve(page, stream http.HandlerFunc) {
 	s.http = &http.Server{
-		Handler:           boundedHandler(page, stream),
+		Handler:           s.limiter.track(boundedHandler(page, stream)),
+		ConnState:         s.limiter.stateChanged,
+		ConnContext:       withConnection,
 		ReadHeaderTimeout: WriteTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -72,6 +75,9 @@
 	return s.listener.Addr().String()
 }
 
+// EvictedConnections returns how many connections were closed because too many were open.
+func (s *Server) EvictedConnections() uint64 { return s.limiter.evictedCount() }
+
 // Done returns a channel that is closed when Close is called.
 func (s *Server) Done() <-chan struct{} {
 	return s.done
--- a/internal/console/httpserver/server_test.go
+++ b/internal/console/httpserver/server_test.go
@@ -118,11 +118,11 @@
 }
 
 func TestCloseEndsStreamsAndStopsServing(t *testing.T) {
-	server, err := Listen("127.0.0.1:0")
+	server, err := Listen("127.0.0.1:0", Limits{})
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := Listen(server.Addr()); err == nil || !strings.Contains(err.Error(), "another process") {
+	if _, err := Listen(server.Addr(), Limits{}); err == nil || !strings.Contains(err.Error(), "another process") {
 		t.Errorf("listening on an address in use: want an error that names another process, got %v", err)
 	}
 	streamed := make(chan struct{})
--- a/internal/console/metrics.go
+++ b/internal/console/metrics.go
@@ -7,6 +7,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"peppervale/internal/cluster"
+	"peppervale/internal/console/httpserver"
 	"peppervale/internal/controller"
 	"peppervale/internal/model"
 	"peppervale/internal/pubsub"
@@ -21,7 +23,10 @@
 type metricsState struct {
 	stats pubsub.Stats
 	view  *controller.View
-	now   model.Microseconds
+	port  cluster.Status // the zero value without a cluster
+
+	evictedViewers uint64 // connections of the console that were closed because too many were open
+	now            model.Microseconds
 }
 
 // metric is a metric whose only label is the controller's name. Monitoring relies on its name, type and help text: they
@@ -74,6 +79,12 @@
 }
 
 var controllerMetrics = []metric{
+	gauge("group_held_bytes", "Memory of requests at the cluster port that have not arrived completely.",
+		func(m metricsState) float64 { return float64(m.port.HeldBytes) }),
+	counter("group_peers_over_memory_total", "Connections to the cluster port ended because of this memory.",
+		func(m metricsState) float64 { return float64(m.port.OverMemory) }),
+	counter("console_connections_closed_total", "Connections to the console closed because too many were open.",
+		func(m metricsState) float64 { return float64(m.evictedViewers) }),
 	gauge("gate_open", "1 while the gate is open.",
 		func(m metricsState) float64 { return oneIf(m.view.SafeModeEnded) }),
 	gauge("replicas_ready", "Replicas listed as ready.",
@@ -113,12 +124,13 @@
 type metricsCollector struct {
 	instance     Instance
 	source       Source
+	server       *httpserver.Server
 	metrics      []metric
 	descriptions []*prometheus.Desc // in the order of metrics
 }
 
-func newMetricsHandler(instance Instance, source Source) http.Handler {
-	collector := &metricsCollector{instance: instance, source: source}
+func newMetricsHandler(instance Instance, source Source, server *httpserver.Server) http.Handler {
+	collector := &metricsCollector{instance: instance, source: source, server: server}
 	collector.metrics = append(collector.metrics, channelMetrics...)
 	collector.metrics = append(collector.metrics, controllerMetrics...)
 	labels := prometheus.Labels{"governor": instance.Name}
@@ -141,6 +153,10 @@
 // Collect implements prometheus.Collector. It does not request a detailed view.
 func (c *metricsCollector) Collect(values chan<- prometheus.Metric) {
 	state := metricsState{stats: c.source.Stats(), view: c.source.View(), now: c.instance.Now()}
+	state.evictedViewers = c.server.EvictedConnections()
+	if c.instance.Cluster != nil {
+		state.port = c.instance.Cluster()
+	}
 	if state.view == nil {
 		state.view = &controller.View{}
 	}
--- a/internal/console/server.go
+++ b/internal/console/server.go
@@ -44,6 +44,7 @@
 	// PreviousSnapshot is the last pubsub.Snapshot of the previous incarnation, as JSON; nil if unknown.
 	PreviousSnapshot []byte
 	QueueLimit       int // entries
+	Limits           httpserver.Limits
 	Now              func() model.Microseconds
 	// Cluster returns the status of the cluster; nil for a controller that is not a member of one.
 	Cluster func() cluster.Status
@@ -64,11 +65,11 @@
 
 // Listen listens on the address and serves until Close. It fails only if it cannot listen on the address.
 func Listen(address string, instance Instance, source Source) (*Server, error) {
-	server, err := httpserver.Listen(address)
+	server, err := httpserver.Listen(address, instance.Limits)
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{instance: instance, source: source, http: server, metrics: newMetricsHandler(instance, source)}
+	s := &Server{instance: instance, source: source, http: server, metrics: newMetricsHandler(instance, source, server)}
 	s.http.Serve(s.serve, s.serveLive)
 	s.sampleLoop.Add(1)
 	go s.collectSamples()
--- a/internal/server/instance.go
+++ b/internal/server/instance.go
@@ -11,6 +11,7 @@
 
 	"peppervale/internal/config"
 	"peppervale/internal/console"
+	"peppervale/internal/console/httpserver"
 	"peppervale/internal/controller"
 	"peppervale/internal/discovery"
 	"peppervale/internal/model"
@@ -192,6 +193,7 @@
 		Zones:            settings.Zones,
 		Settings:         inst.settings.namesAndValues,
 		QueueLimit:       inst.balancerConfig.QueueLimit,
+		Limits:           httpserver.Limits{Connections: settings.ConsoleConnections, Log: inst.log},
 		Now:              inst.now,
 		PreviousSnapshot: inst.recovered.Published,
 	}
--- a/internal/server/membership.go
+++ b/internal/server/membership.go
@@ -99,9 +99,15 @@
 		ShardLoads:       m.proxyServer.ExpectedRates,
 		MisroutedProxies: misroutedProxies,
 		Handover:         cluster.HandoverCallbacks{Export: m.exportHandover, Import: m.importHandover},
-		Now:              options.now,
-		Links:            options.links,
-		Log:              options.log,
+		PortLimits: cluster.PortLimits{
+			Connections:    clusterSettings.Connections,
+			HeldBytes:      clusterSettings.HeldBytes,
+			TotalHeldBytes: clusterSettings.TotalHeldBytes,
+			RequestTimeout: clusterSettings.RequestTimeout,
+		},
+		Now:   options.now,
+		Links: options.links,
+		Log:   options.log,
 	}
 	for _, member := range clusterSettings.Members {
 		peer := cluster.Peer{Name: member.Name, Address: member.Address, GossipAddress: member.GossipAddress}
