Bound replies, commands, names and load reports that peers of the channel can cause at will

Causes and changes: - Replies were written whatever was unsent. One beyond unsent_bytes, or the even share of unsent_all_bytes, ends the connection with LATER. - Only known commands counted towards the limit on commands. Each does. - A name kept its number until the next start. The name that has been without a stream for longest is forgotten for a new one (names_most); joined proxies keep theirs. - The mailbox kept reports on replicas that nobody lists, at intake a second, with those of others behind them. They are dropped as they come, as the balancer would; before the first list 4,096 are kept. - Each SUBSCRIBE was answered with the whole state: once a second now. - Lines about ended connections: 20 a second at most.

--- a/internal/config/channel.go
+++ b/internal/config/channel.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"math"
 	"time"
 
 	"peppervale/internal/model"
@@ -22,6 +23,7 @@
 	HeldBytes        int           // memory of one peer's command that has not arrived completely
 	TotalHeldBytes   int           // the same of all peers in total
 	CommandTimeout   time.Duration // time within which a command must arrive completely
+	ProxyNames       int           // names of proxies that are remembered
 	JoinRate         float64       // joins per second; 0: no limit
 	JoinBurst        int           // joins at once
 	MaxProxies       int           // joined proxies in total; 0: no limit
@@ -40,6 +42,7 @@
 		HeldBytes:        b.Int("held_bytes", 0, 0, maxHeldBytes),
 		TotalHeldBytes:   b.Int("held_all_bytes", 0, 0, maxTotalHeldBytes),
 		CommandTimeout:   b.Duration("unfinished", 0, 0, maxDuration).Duration(),
+		ProxyNames:       b.Int("names_most", 0, 0, math.MaxUint16),
 		JoinRate:         b.Float("joins", 0, 0, maxCount),
 		JoinBurst:        b.Int("joins_burst", 50, 1, maxCount),
 		MaxProxies:       b.Int("joined_most", 0, 0, maxCount),
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -140,6 +140,7 @@
 	c.pending = newBatch()
 	c.balancer = balancer.New(c.config, c, c.now())
 	if len(cached) > 0 {
+		c.mailbox.addListed(cached)
 		c.deliverEndpoints(c.now(), endpointEvent{model.CachedList, cached})
 	}
 	c.finishStep(c.now())
--- a/internal/controller/mailbox.go
+++ b/internal/controller/mailbox.go
@@ -155,10 +155,18 @@
 		m.pollFailed = true
 	} else {
 		m.endpoints = &endpointEvent{update, entries}
+		m.reports.addListed(entries)
 	}
 	m.wake()
 }
 
+// addListed makes the replicas of an endpoint list known, so that reports on them are accepted.
+func (m *mailbox) addListed(entries []model.Endpoint) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reports.addListed(entries)
+}
+
 // drain removes and returns all waiting events, with at most reportLimit load reports.
 func (m *mailbox) drain(reportLimit int) receivedEvents {
 	m.mu.Lock()
@@ -200,9 +208,10 @@
 	return events
 }
 
-// reportCounts returns the number of waiting load reports and the number of reports merged since the start.
-func (m *mailbox) reportCounts() (pending int, merged uint64) {
+// reportCounts returns the number of waiting load reports, and the numbers of reports merged and dropped since the
+// start.
+func (m *mailbox) reportCounts() (pending int, merged, dropped uint64) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return len(m.reports.order), m.reports.mergedCount
+	return len(m.reports.order), m.reports.mergedCount, m.reports.droppedCount
 }
--- a/internal/controller/pendingreports.go
+++ b/internal/controller/pendingreports.go
@@ -8,11 +8,18 @@
 	replica model.ReplicaID
 }
 
-// pendingReports merges the load reports that wait for the balancer, one for each replica and zone.
+// maxReportsBeforeList bounds the pending reports until an endpoint list is known.
+const maxReportsBeforeList = 4096
+
+// pendingReports merges the load reports that wait for the balancer, one for each replica and zone. Reports on replicas
+// that no endpoint list has named are dropped, as the balancer does, so that a proxy that reports ever new replicas
+// neither fills the memory nor delays the reports of others.
 type pendingReports struct {
-	byKey       map[reportKey]*mergedReport
-	order       []reportKey // keys of byKey, in the order of their first reports
-	mergedCount uint64      // reports merged into a report that a step had left waiting
+	byKey        map[reportKey]*mergedReport
+	order        []reportKey              // keys of byKey, in the order of their first reports
+	listed       map[model.ReplicaID]bool // replicas that an endpoint list has named; nil: no list is known
+	mergedCount  uint64                   // reports merged into a report that a step had left waiting
+	droppedCount uint64                   // reports on replicas that no list has named
 }
 
 // mergedReport is a load report with the total latency that its mean latency is computed from.
@@ -30,6 +37,10 @@
 	key := reportKey{zone, report.Replica}
 	merged := p.byKey[key]
 	if merged == nil {
+		if !p.accepts(report.Replica) {
+			p.droppedCount++
+			return
+		}
 		merged = &mergedReport{report: model.LoadReport{Zone: zone, Replica: report.Replica}}
 		p.byKey[key] = merged
 		p.order = append(p.order, key)
@@ -39,6 +50,24 @@
 	merged.add(report)
 }
 
+// accepts reports whether a replica may get a pending report.
+func (p *pendingReports) accepts(replica model.ReplicaID) bool {
+	if p.listed == nil {
+		return len(p.order) < maxReportsBeforeList
+	}
+	return p.listed[replica]
+}
+
+// addListed adds the replicas of an endpoint list to those that are known.
+func (p *pendingReports) addListed(entries []model.Endpoint) {
+	if p.listed == nil {
+		p.listed = make(map[model.ReplicaID]bool, len(entries))
+	}
+	for _, entry := range entries {
+		p.listed[entry.ID] = true
+	}
+}
+
 func (r *mergedReport) add(report *model.LoadReport) {
 	r.report.Attempts += report.Attempts
 	r.report.Errors += report.Errors
--- a/internal/controller/view.go
+++ b/internal/controller/view.go
@@ -23,6 +23,7 @@
 	LongestStep      model.Microseconds // duration of the longest step
 	PendingReports   int                // load reports that wait for the balancer
 	MergedReports    uint64             // load reports merged because they came faster than the report limit
+	DroppedReports   uint64             // load reports on replicas that no endpoint list has named
 	Detail           *Detail            // nil or out of date unless DetailedView was called recently
 }
 
@@ -81,7 +82,7 @@
 func (c *Controller) storeView(now model.Microseconds) {
 	c.views.steps++
 	c.views.longestStep = max(c.views.longestStep, c.now()-now)
-	pendingReports, mergedReports := c.mailbox.reportCounts()
+	pendingReports, mergedReports, droppedReports := c.mailbox.reportCounts()
 	if c.views.detailIsDue(now) {
 		c.views.detailAt = now
 		c.views.detail = c.copyDetail(now)
@@ -100,6 +101,7 @@
 		LongestStep:      c.views.longestStep,
 		PendingReports:   pendingReports,
 		MergedReports:    mergedReports,
+		DroppedReports:   droppedReports,
 		Detail:           c.views.detail,
 	})
 }
--- a/internal/pubsub/command.go
+++ b/internal/pubsub/command.go
@@ -42,6 +42,9 @@
 		return errEnded
 	}
 	c.commandCount++
+	if !c.checkCommandRate() {
+		return errEnded
+	}
 	if value.Kind != resp.Array || len(value.Items) == 0 {
 		return errMalformedCommand
 	}
@@ -52,14 +55,12 @@
 		c.replyError("ERR unknown command '%.40s'; known are %s", name, strings.Join(known, ", "))
 		return nil
 	}
-	if !c.checkCommandRate() {
-		return nil
-	}
 	return command(c, value.Items[1:])
 }
 
-// checkCommandRate counts a command and reports whether it is within the peer's rate limit. A peer above the limit gets
-// an error with a retry delay, and its connection is closed. The tables that it holds stay in force.
+// checkCommandRate counts a command, of whatever name, and reports whether it is within the peer's rate limit. A peer
+// above the limit gets an error with a retry delay, and its connection is closed. The tables that it holds stay in
+// force.
 func (c *connection) checkCommandRate() bool {
 	server := c.server
 	server.mu.Lock()
--- a/internal/pubsub/config.go
+++ b/internal/pubsub/config.go
@@ -20,6 +20,7 @@
 	HeldBytes        int            // memory of one peer's unfinished command; more ends the connection
 	TotalHeldBytes   int            // the same for all peers; beyond it peers above their even share get a retry delay
 	CommandTimeout   time.Duration  // within which a command arrives completely after its first bytes
+	ProxyNames       int            // names that keep their number; for one more the longest idle one is forgotten
 }
 
 // DefaultLimits are suitable for some thousand proxies: 64 KiB hold a table of 2,000 entries. All peers together may
@@ -35,6 +36,7 @@
 	HeldBytes:        8 << 20,
 	TotalHeldBytes:   64 << 20,
 	CommandTimeout:   10 * time.Second,
+	ProxyNames:       maxProxyNames,
 }
 
 // withDefaults replaces missing values by those of DefaultLimits.
@@ -47,6 +49,7 @@
 	l.HeldBytes = positiveOr(l.HeldBytes, DefaultLimits.HeldBytes)
 	l.TotalHeldBytes = positiveOr(l.TotalHeldBytes, DefaultLimits.TotalHeldBytes)
 	l.CommandTimeout = positiveOr(l.CommandTimeout, DefaultLimits.CommandTimeout)
+	l.ProxyNames = min(positiveOr(l.ProxyNames, DefaultLimits.ProxyNames), maxProxyNames)
 	if l.CommandRate.PerSecond <= 0 {
 		l.CommandRate = DefaultLimits.CommandRate
 	}
--- a/internal/pubsub/connection.go
+++ b/internal/pubsub/connection.go
@@ -27,6 +27,7 @@
 	commandCount  uint64 // commands that have arrived completely
 	receivedHello bool
 	isObserver    bool
+	observedAt    model.Microseconds // when it was last sent the first snapshot of a subscription; 0: never
 	stream        stream
 
 	// deadlineCommand is the number of the command by which a read deadline was set that ends the connection unless the
@@ -63,6 +64,9 @@
 		strings.HasPrefix(reason, errorMoved)
 }
 
+// peerLinesPerSecond bounds the log lines about connections that were closed, as peers can cause them at will.
+const peerLinesPerSecond = 20
+
 // errEnded stops the reader of a connection that has ended. It is not reported.
 var errEnded = errors.New("connection has ended")
 
@@ -104,7 +108,7 @@
 	if isExpectedEnd(reason) {
 		level = zerolog.DebugLevel
 	}
-	s.config.Log.WithLevel(level).Str("peer", conn.Socket().RemoteAddr().String()).Str("proxy", conn.stream.join.Name).
+	s.peerLog.WithLevel(level).Str("peer", conn.Socket().RemoteAddr().String()).Str("proxy", conn.stream.join.Name).
 		Str("reason", reason).Msg("connection closed")
 	s.connections.Write(conn, resp.AppendLine(nil, resp.SimpleError, reason))
 	_ = conn.Socket().Close()
@@ -134,6 +138,7 @@
 // removeStream removes a stream and drops its queued messages; s.mu is held.
 func (s *Server) removeStream(conn *connection) {
 	delete(s.streams, conn.stream.proxy)
+	s.names.release(conn.stream.join.Name)
 	if conn.stream.subscriber != nil {
 		s.publishedState.Unsubscribe(conn.stream.proxy)
 	}
@@ -144,7 +149,22 @@
 func (c *connection) reply(encoded []byte) {
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
-	c.server.connections.Write(c, encoded)
+	c.server.writeReply(c, encoded)
+}
+
+// writeReply writes a reply to a command. It ends the connection if too much is unsent: the peer does not read its
+// replies. s.mu is held.
+func (s *Server) writeReply(conn *connection, encoded []byte) {
+	size := int64(len(encoded))
+	budget := s.config.Limits.unsentBudget()
+	if budget.MustMerge(conn.UnsentBytes()+size, s.connections.UnsentBytes()+size, s.connections.Count()) {
+		s.stats.UnreadReplies++
+		s.endWithError(conn, fmt.Sprintf(
+			errorLater+" %d milliseconds: over %d bytes of replies are not read; keep what you hold",
+			overMemoryRetryDelay.Milliseconds(), s.config.Limits.UnsentBytes))
+		return
+	}
+	s.connections.Write(conn, encoded)
 }
 
 // replyError replies with an error and leaves the connection open.
--- a/internal/pubsub/delivery.go
+++ b/internal/pubsub/delivery.go
@@ -55,8 +55,12 @@
 		if conn.UnsentBytes() >= int64(s.config.Limits.UnsentBytes)/2 {
 			continue
 		}
+		if conn.isObserver && s.config.Now()-conn.observedAt < resyncInterval {
+			continue
+		}
 		delete(s.slowReaders, conn)
 		if conn.isObserver {
+			conn.observedAt = s.config.Now()
 			s.sendObserverSnapshot(conn)
 		} else {
 			s.sendSnapshot(conn)
--- a/internal/pubsub/observer.go
+++ b/internal/pubsub/observer.go
@@ -29,11 +29,11 @@
 		return fmt.Errorf("%d observers are here, no more are taken", server.observerCount)
 	}
 	c.clearReadDeadline()
-	server.connections.Write(c, encodeSubscription("subscribe", 1))
-	if !c.isObserver {
+	server.writeReply(c, encodeSubscription("subscribe", 1))
+	if !c.isObserver && !c.Ended() {
 		c.isObserver = true
 		server.observerCount++
-		server.sendObserverSnapshot(c)
+		server.sendFirstSnapshot(c)
 	}
 	return nil
 }
@@ -47,7 +47,7 @@
 		server.observerCount--
 		delete(server.slowReaders, c)
 	}
-	server.connections.Write(c, encodeSubscription("unsubscribe", 0))
+	server.writeReply(c, encodeSubscription("unsubscribe", 0))
 	return nil
 }
 
@@ -84,6 +84,19 @@
 	}
 }
 
+// sendFirstSnapshot sends an observer that has just subscribed the complete state, at most once each resyncInterval: it
+// bounds the cost of a peer that subscribes in a loop. Within the interval the observer counts as a slow reader, which
+// gets its snapshot later. s.mu is held.
+func (s *Server) sendFirstSnapshot(conn *connection) {
+	now := s.config.Now()
+	if conn.observedAt > 0 && now-conn.observedAt < resyncInterval {
+		s.fold(conn)
+		return
+	}
+	conn.observedAt = now
+	s.sendObserverSnapshot(conn)
+}
+
 // sendObserverSnapshot sends an observer the complete state; s.mu is held.
 func (s *Server) sendObserverSnapshot(conn *connection) {
 	if text, err := json.Marshal(s.snapshotMessage()); err == nil {
--- a/internal/pubsub/server.go
+++ b/internal/pubsub/server.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"peppervale/internal/admission"
 	"peppervale/internal/model"
 	"peppervale/internal/netpoll/connserver"
@@ -27,13 +29,14 @@
 	events      connserver.ProxyEvents
 	connections *connserver.Server[*connection]
 	wakeSender  chan struct{}
+	peerLog     zerolog.Logger // lines that a peer can cause at will, sampled
 
 	mu               sync.Mutex
 	joins            *admission.Controller
 	publishedState   *snapshot.State
 	queue            pacedQueue
 	streams          map[model.ProxyID]*connection // the joined connections, by proxy
-	proxyIDs         map[string]model.ProxyID      // by name, of all proxies that joined in this incarnation
+	names            proxyNames
 	observerCount    int
 	slowReaders      map[*connection]bool // slow readers, which get a snapshot once they resume reading
 	misrouted        misroutedProxies
@@ -49,11 +52,12 @@
 		config:         config,
 		events:         events,
 		wakeSender:     make(chan struct{}, 1),
+		peerLog:        config.Log.Sample(&zerolog.BurstSampler{Burst: peerLinesPerSecond, Period: time.Second}),
 		joins:          admission.New(config.JoinLimits, config.Now()),
 		publishedState: snapshot.New(config.Incarnation, config.MessageOverhead, snapshot.UntilSnapshot),
 		queue:          pacedQueue{entriesPerSecond: config.EntriesPerSecond},
 		streams:        map[model.ProxyID]*connection{},
-		proxyIDs:       map[string]model.ProxyID{},
+		names:          newProxyNames(),
 		slowReaders:    map[*connection]bool{},
 		misrouted:      misroutedProxies{},
 	}
--- a/internal/pubsub/stats.go
+++ b/internal/pubsub/stats.go
@@ -24,6 +24,8 @@
 	Fenced           uint64 `json:"fenced"`       // messages that proxies ignored because their epoch was old
 	HeldBytes        int64  `json:"held_bytes"`   // memory of commands that have not arrived completely, now
 	OverMemory       uint64 `json:"held_put_off"` // peers that exceeded the limits on this memory
+	UnreadReplies    uint64 `json:"unread"`       // peers ended because they did not read their replies
+	NamesForgotten   uint64 `json:"forgotten"`    // names of proxies that were forgotten for new ones
 }
 
 // Stats returns the current statistics.
--- a/internal/server/statistics.go
+++ b/internal/server/statistics.go
@@ -33,11 +33,14 @@
 		Uint64("snapshot_fallbacks", stats.SnapshotFolds).
 		Uint64("resyncs", stats.Resyncs).
 		Uint64("merged_reports", view.MergedReports).
+		Uint64("dropped_reports", view.DroppedReports).
 		Uint64("protocol_errors", stats.ProtocolErrors).
 		Uint64("rate_limited_peers", stats.RateLimited).
 		Int64("unsent_bytes", stats.UnsentBytes).
 		Int64("held_bytes", stats.HeldBytes).
 		Uint64("over_memory_peers", stats.OverMemory).
+		Uint64("unread_replies", stats.UnreadReplies).
+		Uint64("forgotten_names", stats.NamesForgotten).
 		Int64("longest_step_us", int64(view.LongestStep)).
 		Msg(statisticsMessage)
 }
