Handle nothing of an ended connection, and report streams in the order of their registration

Cause: the end of a connection was asked for once for each piece that was read, JOIN and SUBSCRIBE did not ask whether the connection is registered, and a stream was reported after the lock was released, so the older of two could be reported last and was taken for the newest.

--- a/internal/pubsub/command.go
+++ b/internal/pubsub/command.go
@@ -137,5 +137,7 @@
 
 func (c *connection) quit([]resp.Value) error {
 	c.replyOK()
-	return c.Socket().Close()
+	c.MarkEnded()
+	_ = c.Socket().Close()
+	return errEnded
 }
--- a/internal/pubsub/harness_test.go
+++ b/internal/pubsub/harness_test.go
@@ -30,6 +30,8 @@
 	server  *Server
 	started time.Time
 
+	beforeConnected func(stream uint64) // called at the begin of ProxyConnected; nil: nothing
+
 	mu            sync.Mutex
 	events        []string
 	eventRecorded chan struct{} // signalled after each event
@@ -47,6 +49,9 @@
 
 // ProxyConnected admits the proxy.
 func (h *testHarness) ProxyConnected(proxy model.ProxyID, stream uint64, join pubsubmsg.Join, zone int) {
+	if h.beforeConnected != nil {
+		h.beforeConnected(stream)
+	}
 	h.server.AdmitProxy(proxy, stream)
 	h.recordEvent("connected %s %d", join.Name, zone)
 }
--- a/internal/pubsub/join.go
+++ b/internal/pubsub/join.go
@@ -11,7 +11,8 @@
 	"peppervale/internal/model"
 )
 
-// joinProxy registers the connection as a proxy's stream and reports it, without holding the lock.
+// joinProxy registers the connection as a proxy's stream and reports it, without holding Server.mu. Streams are reported
+// in the order in which they are registered.
 func (c *connection) joinProxy(args []resp.Value) error {
 	if !c.receivedHello {
 		return errHelloFirst
@@ -25,6 +26,8 @@
 	if zone < 0 {
 		return fmt.Errorf("JOIN: no zone %.60q here; there are %s", join.Zone, strings.Join(server.config.Zones, ", "))
 	}
+	server.joinOrder.Lock()
+	defer server.joinOrder.Unlock()
 	joined, err := server.registerStream(c, join, zone)
 	if err != nil || !joined {
 		return err
@@ -38,6 +41,9 @@
 func (s *Server) registerStream(conn *connection, join pubsubmsg.Join, zone int) (joined bool, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.connections.Registered(conn) { // ended in the meantime
+		return false, errEnded
+	}
 	if conn.stream.id != 0 {
 		return false, fmt.Errorf("JOIN: this connection has joined as %q", conn.stream.join.Name)
 	}
--- a/internal/pubsub/observer.go
+++ b/internal/pubsub/observer.go
@@ -25,6 +25,9 @@
 	server := c.server
 	server.mu.Lock()
 	defer server.mu.Unlock()
+	if !server.connections.Registered(c) { // ended in the meantime
+		return errEnded
+	}
 	if !c.isObserver && server.observerCount >= server.config.Limits.Observers {
 		return fmt.Errorf("%d observers are here, no more are taken", server.observerCount)
 	}
--- a/internal/pubsub/server.go
+++ b/internal/pubsub/server.go
@@ -31,6 +31,8 @@
 	wakeSender  chan struct{}
 	peerLog     zerolog.Logger // lines that a peer can cause at will, sampled
 
+	joinOrder sync.Mutex // held from the registration of a stream to its report; taken before mu
+
 	mu               sync.Mutex
 	joins            *admission.Controller
 	publishedState   *snapshot.State
