--- a/internal/pubsub/doc.go
+++ b/internal/pubsub/doc.go
@@ -12,10 +12,10 @@
 //   - Bytes that are not RESP, and commands with invalid arguments or in the wrong order, end their own connection with
 //     one error and do not affect other connections. A connection that has neither joined nor subscribed within
 //     Limits.GreetingTimeout is closed without an error.
-//   - Events are reported without holding Server.mu, so that their receiver may call the server. Streams are reported in
-//     the order in which they were registered, so the last one reported for a proxy is the one in use. A stream that is
-//     replaced by a newer one of the same proxy is not reported as disconnected: the ProxyConnected event of the newer
-//     stream implies its end.
+//   - Events are reported without holding Server.mu, so that their receiver may call the server. Streams are reported
+//     in the order in which they were registered, so the last one reported for a proxy is the one in use. A stream that
+//     is replaced by a newer one of the same proxy is not reported as disconnected: the ProxyConnected event of the
+//     newer stream implies its end.
 //   - Nothing that a peer sent is handled once its connection has ended, whoever ended it.
 //
 // Caveats: a snapshot that answers a JOIN or a RESYNC is a reply and is not paced. RESYNC is answered at most once a
--- a/internal/pubsub/endedconnection_test.go
+++ b/internal/pubsub/endedconnection_test.go
@@ -83,35 +83,35 @@
 // report, the last stream that is reported for a name is the one in use.
 func TestStreamsAreReportedInOrderOfRegistration(t *testing.T) {
 	const connections = 6
-	var mu sync.Mutex
+	var reportedMu sync.Mutex
 	var reported []uint64
 	secondIsReported := make(chan struct{})
 	harness := startServer(t, nil)
 	harness.beforeConnected = func(stream uint64) {
-		mu.Lock()
+		reportedMu.Lock()
 		isFirst := len(reported) == 0
 		reported = append(reported, 0)
 		if len(reported) == 2 {
 			close(secondIsReported)
 		}
-		mu.Unlock()
+		reportedMu.Unlock()
 		if isFirst {
 			select {
 			case <-secondIsReported:
 			case <-time.After(200 * time.Millisecond): // enough for the others to overtake it, if they can
 			}
 		}
-		mu.Lock()
+		reportedMu.Lock()
 		reported = append(reported, stream)
-		mu.Unlock()
+		reportedMu.Unlock()
 	}
 	for range connections {
 		client := harness.dial(t)
 		client.Send(pubsubmsg.AppendJoin(helloCommand(), pubsubmsg.Join{Name: "till", Zone: "kelvin"}))
 	}
 	waitUntil(t, func() error {
-		mu.Lock()
-		defer mu.Unlock()
+		reportedMu.Lock()
+		defer reportedMu.Unlock()
 		if len(reported) != 2*connections {
 			return fmt.Errorf("%d of %d streams are reported", len(reported)/2, connections)
 		}
--- a/internal/pubsub/join.go
+++ b/internal/pubsub/join.go
@@ -11,8 +11,8 @@
 	"peppervale/internal/model"
 )
 
-// joinProxy registers the connection as a proxy's stream and reports it, without holding Server.mu. Streams are reported
-// in the order in which they are registered.
+// joinProxy registers the connection as a proxy's stream and reports it, without holding Server.mu. Streams are
+// reported in the order in which they are registered.
 func (c *connection) joinProxy(args []resp.Value) error {
 	if !c.receivedHello {
 		return errHelloFirst
