Count only replies towards the limit on unread replies of the channel

Change: unsent replies are counted by themselves; what is unsent in all bounds the count from above. TestPingOfSlowReaderIsAnswered fails on the code before (the connection ends); the tests on peers that read no replies hold as they were.

--- a/internal/pubsub/connection.go
+++ b/internal/pubsub/connection.go
@@ -27,6 +27,7 @@
 	commandCount  uint64 // commands that have arrived completely
 	receivedHello bool
 	isObserver    bool
+	unsentReplies int64              // bytes of replies that are unsent, at most
 	observedAt    model.Microseconds // when it was last sent the first snapshot of a subscription; 0: never
 	stream        stream
 
@@ -152,12 +153,13 @@
 	c.server.writeReply(c, encoded)
 }
 
-// writeReply writes a reply to a command. It ends the connection if too much is unsent: the peer does not read its
-// replies. s.mu is held.
+// writeReply writes a reply to a command. It ends the connection if too many bytes of replies are unsent: the peer does
+// not read them. Pushes do not count, as slow readers get snapshots. s.mu is held.
 func (s *Server) writeReply(conn *connection, encoded []byte) {
 	size := int64(len(encoded))
+	conn.unsentReplies = min(conn.unsentReplies, conn.UnsentBytes()) + size
 	budget := s.config.Limits.unsentBudget()
-	if budget.MustMerge(conn.UnsentBytes()+size, s.connections.UnsentBytes()+size, s.connections.Count()) {
+	if budget.MustMerge(conn.unsentReplies, s.connections.UnsentBytes()+size, s.connections.Count()) {
 		s.stats.UnreadReplies++
 		s.endWithError(conn, fmt.Sprintf(
 			errorLater+" %d milliseconds: over %d bytes of replies are not read; keep what you hold",
--- a/internal/pubsub/flood_test.go
+++ b/internal/pubsub/flood_test.go
@@ -77,6 +77,30 @@
 	}
 }
 
+// Guards against a sound peer that is ended because of pushes that it has not read yet: only replies count towards the
+// limit on replies, and its PING is answered once it reads.
+func TestPingOfSlowReaderIsAnswered(t *testing.T) {
+	harness := startServer(t, func(config *Config) {
+		config.Limits.UnsentBytes = 4096
+		config.EntriesPerSecond = 1e9
+	})
+	client, _ := harness.join(t, "slow")
+	client.limitReceiveBuffer(4096)
+	harness.publish(-1, bindProxy(0), setWeight(1, 1))
+	for n := 1; harness.server.Stats().SnapshotFolds == 0; n++ {
+		harness.publish(-1, setWeights(float64(n))...)
+		if n > 5000 {
+			t.Fatal("no changes were folded after 5000 updates that the proxy did not read")
+		}
+	}
+	client.Send(pingCommand())
+	for value, ok := client.Next(); value.Text != "PONG"; value, ok = client.Next() {
+		if !ok || value.Kind == resp.SimpleError {
+			t.Fatalf("received %v, %t, want pushes and the answer to PING", value, ok)
+		}
+	}
+}
+
 // Guards against a flood of unknown commands: they count towards the limit on a peer's commands.
 func TestUnknownCommandsCountTowardsCommandRate(t *testing.T) {
 	const burst = 20
