--- a/internal/cluster/member.go
+++ b/internal/cluster/member.go
@@ -43,6 +43,8 @@
 	// of each member, was applied; 0: never.
 	shardRenewedAt []model.Microseconds
 	memberSeenAt   map[string]model.Microseconds
+
+	loadReports []loadReport // by shard
 }
 
 // NewMember returns a member that has applied no entry yet. loadOf returns the requests a second of a shard that the
@@ -64,6 +66,7 @@
 		planning:       newPlanning(0, 0),
 		shardRenewedAt: make([]model.Microseconds, len(state.Shards)),
 		memberSeenAt:   map[string]model.Microseconds{},
+		loadReports:    make([]loadReport, len(state.Shards)),
 	}
 }
 
@@ -103,6 +106,7 @@
 	for _, response := range responses {
 		if response.Granted && response.Shard < len(m.shardRenewedAt) {
 			m.shardRenewedAt[response.Shard] = now
+			m.loadReports[response.Shard].recordGrant(m.state.Shards[response.Shard], now)
 		}
 		if isOwn && response.Shard < len(m.leases) {
 			m.leases[response.Shard].HandleResponse(m.settings.Lease, response.Response)
--- a/internal/cluster/member_test.go
+++ b/internal/cluster/member_test.go
@@ -74,6 +74,31 @@
 	sim.wantHeld(0, 3, 3)
 }
 
+// The leader is lost right after the first grants, and the new one has not received the load of every shard: the lost
+// member's shards still go to both remaining members. A load that is not known yet was taken as 0, so that one member
+// got all of them.
+func TestLostShardsAreSpreadWhenLoadsAreNotReportedYet(t *testing.T) {
+	sim := newSimulation(t, 3)
+	for ticks := 0; sim.heldShards(0)+sim.heldShards(1)+sim.heldShards(2) < 6; ticks++ {
+		if sim.runTick(); ticks > 1000 {
+			t.Fatal("the shards are not held")
+		}
+	}
+	sim.wantHeld(2, 2, 2)
+	sim.members[0].up = false
+	sim.members[2].losesProposals = true // its first renewal, which reports the loads
+	for sim.members[1].state.Shards[0].Target == "m0" {
+		sim.runTick()
+	}
+	counts := map[string]int{}
+	for _, shard := range sim.members[1].state.Shards {
+		counts[shard.Target]++
+	}
+	if counts["m1"] != 3 || counts["m2"] != 3 {
+		t.Errorf("shards are placed on members as %v, want 3 on m1 and on m2", counts)
+	}
+}
+
 // The leader is lost: its shards are taken over about as soon as those of another member would be, as the new leader
 // has seen their renewals.
 func TestShardsAreTakenOverInOneLeaseWhenLeaderIsLost(t *testing.T) {
--- a/internal/cluster/planning.go
+++ b/internal/cluster/planning.go
@@ -108,6 +108,7 @@
 			Number:          shard.Number,
 			Zone:            shard.Zone,
 			Load:            shard.Load,
+			LoadUnknown:     m.isLoadUnknown(shard, now),
 			Target:          shard.Target,
 			Pinned:          shard.Pinned,
 			ReachableMember: m.reachableMember(shard, now),
--- a/internal/cluster/simulation_test.go
+++ b/internal/cluster/simulation_test.go
@@ -40,6 +40,7 @@
 	*Member
 	up, partitioned   bool
 	receivesNoEntries bool // it receives no entries, but its proposals reach the leader
+	losesProposals    bool // it receives entries, but its proposals reach nobody
 	appliedEntries    int  // number of entries that it has applied
 	clockLoss         model.Microseconds
 	incarnations      uint64
@@ -113,7 +114,7 @@
 		changes, proposals := m.Tick(m.localTime(s), leads, s.seemsAlive)
 		m.changes = append(m.changes, changes...)
 		for _, command := range proposals {
-			if !m.partitioned && s.hasQuorum() {
+			if !m.partitioned && !m.losesProposals && s.hasQuorum() {
 				s.commit(command, s.members[s.leader].localTime(s))
 			}
 		}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -26,6 +26,7 @@
 	Number          int
 	Zone            string
 	Load            float64 // requests per second that its proxies expect
+	LoadUnknown     bool    // its first holder has not reported a load yet, and Load is 0
 	Target          string  // member that should hold it; "": none
 	Pinned          bool    // an operator placed it on Target
 	ReachableMember string  // member that its proxies connect to while none of them reaches Target; "": none
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -32,12 +32,13 @@
 		p.lastMoveAt = map[string]model.Microseconds{}
 		p.unreachableAt = map[shardOnMember]model.Microseconds{}
 	}
-	round := newRound(p, config, now, members, shards)
-	heaviestFirst := sortedByLoad(shards)
+	weighted := withWeights(shards)
+	round := newRound(p, config, now, members, weighted)
+	heaviestFirst := sortedByWeight(weighted)
 	var migrations []Migration
 	for i := range rules { // forced migrations of all shards come first and may use up the capacity
 		for _, shard := range heaviestFirst {
-			if firstApplicableRule(shard, round.target(shard)) != &rules[i] {
+			if round.firstApplicableRule(shard) != &rules[i] {
 				continue
 			}
 			if destination := round.bestMember(&rules[i], shard); destination != nil {
@@ -48,33 +49,63 @@
 	return migrations
 }
 
-// sortedByLoad returns the shards with the highest load first, so that the last ones are small enough to balance the
-// loads of the members.
-func sortedByLoad(shards []Shard) []*Shard {
-	sorted := make([]*Shard, len(shards))
+// weightedShard is a shard with the load by which members are compared: its own, or an estimate where it is unknown. An
+// estimate never counts towards the capacity of a member, so it leaves no shard without a target.
+type weightedShard struct {
+	*Shard
+	weight float64
+}
+
+// withWeights estimates an unknown load by the mean of the known ones; 0 if none is known.
+func withWeights(shards []Shard) []weightedShard {
+	total, known := 0.0, 0
+	for i := range shards {
+		if !shards[i].LoadUnknown {
+			total += shards[i].Load
+			known++
+		}
+	}
+	mean := total / float64(max(known, 1))
+	weighted := make([]weightedShard, len(shards))
+	for i := range shards {
+		weighted[i] = weightedShard{Shard: &shards[i], weight: shards[i].Load}
+		if shards[i].LoadUnknown {
+			weighted[i].weight = mean
+		}
+	}
+	return weighted
+}
+
+// sortedByWeight returns the shards with the highest weight first, so that the last ones are small enough to balance
+// the loads of the members.
+func sortedByWeight(shards []weightedShard) []*weightedShard {
+	sorted := make([]*weightedShard, len(shards))
 	for i := range shards {
 		sorted[i] = &shards[i]
 	}
-	slices.SortStableFunc(sorted, func(a, b *Shard) int {
-		return cmp.Or(cmp.Compare(b.Load, a.Load), cmp.Compare(a.Number, b.Number))
+	slices.SortStableFunc(sorted, func(a, b *weightedShard) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.Number, b.Number))
 	})
 	return sorted
 }
 
-// memberLoad is a member with the total load and number of the shards placed on it so far.
+// memberLoad is a member with the total load, weight and number of the shards placed on it so far.
 type memberLoad struct {
 	*Member
 	load       float64
+	weight     float64
 	shardCount int
 }
 
-func (m *memberLoad) addShard(shard *Shard) {
+func (m *memberLoad) addShard(shard *weightedShard) {
 	m.load += shard.Load
+	m.weight += shard.weight
 	m.shardCount++
 }
 
-func (m *memberLoad) removeShard(shard *Shard) {
+func (m *memberLoad) removeShard(shard *weightedShard) {
 	m.load -= shard.Load
+	m.weight -= shard.weight
 	m.shardCount--
 }
 
@@ -86,7 +117,7 @@
 }
 
 // distance returns 0 for a member of the shard's zone and 1 for any other.
-func (m *memberLoad) distance(shard *Shard) int {
+func (m *memberLoad) distance(shard *weightedShard) int {
 	if m.Zone == shard.Zone {
 		return 0
 	}
@@ -95,11 +126,11 @@
 
 // balancesLoad reports whether a migration reduces the difference between the loads of two members. For a shard without
 // load the numbers of shards are compared instead.
-func balancesLoad(from, to *memberLoad, shard *Shard) bool {
-	if shard.Load > 0 {
-		return to.load+shard.Load < from.load
+func balancesLoad(from, to *memberLoad, shard *weightedShard) bool {
+	if shard.weight > 0 {
+		return to.weight+shard.weight < from.weight
 	}
-	return from.load == 0 && to.load == 0 && to.shardCount+1 < from.shardCount
+	return from.weight == 0 && to.weight == 0 && to.shardCount+1 < from.shardCount
 }
 
 // round is the state of one call of Plan.
@@ -112,7 +143,7 @@
 }
 
 func newRound(
-	planner *Planner, config Config, now model.Microseconds, members []Member, shards []Shard,
+	planner *Planner, config Config, now model.Microseconds, members []Member, shards []weightedShard,
 ) *round {
 	result := &round{Config: config, planner: planner, now: now, byName: map[string]*memberLoad{}}
 	for i := range members {
@@ -130,11 +161,11 @@
 }
 
 // target returns nil if a shard has no target, or its target is not a member.
-func (r *round) target(shard *Shard) *memberLoad { return r.byName[shard.Target] }
+func (r *round) target(shard *weightedShard) *memberLoad { return r.byName[shard.Target] }
 
 // bestMember returns the member that a rule migrates a shard to: an eligible member of the shard's zone if there is
 // one, else any eligible member, and of several the one with the least load. It returns nil if the shard stays.
-func (r *round) bestMember(rule *rule, shard *Shard) *memberLoad {
+func (r *round) bestMember(rule *rule, shard *weightedShard) *memberLoad {
 	target := r.target(shard)
 	if rule.staysOnTarget || rule.rateLimited && !r.mayMove(target) {
 		return nil
@@ -152,7 +183,7 @@
 }
 
 // isEligible reports whether a rule allows a shard to migrate to a member that is not its target.
-func (r *round) isEligible(rule *rule, shard *Shard, member *memberLoad) bool {
+func (r *round) isEligible(rule *rule, shard *weightedShard, member *memberLoad) bool {
 	switch {
 	case !member.accepts(shard.Load):
 		return false
@@ -170,24 +201,24 @@
 }
 
 // isStableFor reports whether a member may get a shard under a rule that needs a stable member.
-func (r *round) isStableFor(rule *rule, shard *Shard, member *memberLoad) bool {
+func (r *round) isStableFor(rule *rule, shard *weightedShard, member *memberLoad) bool {
 	isStable := r.now-member.AliveSince >= r.StabilizationPeriod
 	mayMove := !rule.rateLimited || r.mayMove(member)
 	return isStable && mayMove && !r.wasUnreachable(shard, member)
 }
 
 // isBetter reports whether the eligible member a is preferred to b for a shard.
-func isBetter(a, b *memberLoad, shard *Shard) bool {
+func isBetter(a, b *memberLoad, shard *weightedShard) bool {
 	return cmp.Or(
 		cmp.Compare(a.distance(shard), b.distance(shard)),
-		cmp.Compare(a.load, b.load),
+		cmp.Compare(a.weight, b.weight),
 		cmp.Compare(a.shardCount, b.shardCount),
 	) < 0
 }
 
 // wasUnreachable reports whether a shard migrated away from a member within returnDelay because its proxies did not
 // reach the member.
-func (r *round) wasUnreachable(shard *Shard, member *memberLoad) bool {
+func (r *round) wasUnreachable(shard *weightedShard, member *memberLoad) bool {
 	at, found := r.planner.unreachableAt[shardOnMember{shard.Number, member.Name}]
 	return found && r.now-at < returnDelay
 }
@@ -199,7 +230,7 @@
 }
 
 // migrate applies a migration to the loads of the round, to the planner and to the shard.
-func (r *round) migrate(rule *rule, shard *Shard, destination *memberLoad) Migration {
+func (r *round) migrate(rule *rule, shard *weightedShard, destination *memberLoad) Migration {
 	migration := Migration{Shard: shard.Number, From: shard.Target, To: destination.Name, Reason: rule.reason}
 	if from := r.target(shard); from != nil {
 		from.removeShard(shard)
--- a/internal/placement/planner_test.go
+++ b/internal/placement/planner_test.go
@@ -117,6 +117,38 @@
 	}
 }
 
+// The shards of a lost member go evenly to the others although the loads of one of these are not known yet. An unknown
+// load was taken as 0, and that member got all of them.
+func TestUnknownLoadsCountAsMeanOfKnownOnes(t *testing.T) {
+	cluster := newTestCluster(3, 2, 10)
+	cluster.planAfter(0)
+	for i := range cluster.shards {
+		if cluster.shards[i].Target == "member-zone1" {
+			cluster.shards[i].Load, cluster.shards[i].LoadUnknown = 0, true
+		}
+	}
+	cluster.members[0].Alive = false
+	cluster.planAfter(model.Second)
+	if a, b := cluster.shardCount("member-zone1"), cluster.shardCount("member-zone2"); a != 3 || b != 3 {
+		t.Errorf("the remaining members have %d and %d shards, want 3 each", a, b)
+	}
+}
+
+// An unknown load takes up no capacity: a shard whose load nobody has reported yet is placed wherever there is a
+// member.
+func TestUnknownLoadIsPlacedWithoutCapacity(t *testing.T) {
+	cluster := newTestCluster(2, 2, 10)
+	cluster.members[0].Capacity, cluster.members[1].Capacity = 20, 20
+	cluster.shards[3].Load, cluster.shards[3].LoadUnknown = 0, true
+	cluster.planAfter(0)
+	cluster.members[0].Alive = false
+	cluster.shards[3].Target = ""
+	cluster.planAfter(model.Second)
+	if target := cluster.shards[3].Target; target != "member-zone1" {
+		t.Errorf("the shard of unknown load is placed on %q, want member-zone1", target)
+	}
+}
+
 // A shard stays unplaced while no member has capacity for it, and is placed once a member has.
 func TestShardStaysUnplacedWhenNoMemberHasCapacity(t *testing.T) {
 	cluster := newTestCluster(2, 2, 10)
--- a/internal/placement/rules.go
+++ b/internal/placement/rules.go
@@ -16,7 +16,7 @@
 // rule is a row of the package's decision table.
 type rule struct {
 	reason  string
-	applies func(shard *Shard, target *memberLoad) bool // target is nil if the shard has none
+	applies func(r *round, shard *weightedShard, target *memberLoad) bool // target is nil if the shard has none
 
 	staysOnTarget   bool // the shard does not migrate
 	rateLimited     bool // one migration each move interval
@@ -39,27 +39,31 @@
 	{reason: reasonUneven, applies: alwaysApplies, rateLimited: true, needsStable: true, mustBalanceLoad: true},
 }
 
-func isUnplaced(_ *Shard, target *memberLoad) bool       { return target == nil }
-func isTargetLost(_ *Shard, target *memberLoad) bool     { return !target.Alive }
-func isTargetStopping(_ *Shard, target *memberLoad) bool { return target.Stopping }
-func isTargetDraining(_ *Shard, target *memberLoad) bool { return target.Draining }
-func isPinned(shard *Shard, _ *memberLoad) bool          { return shard.Pinned }
-func alwaysApplies(*Shard, *memberLoad) bool             { return true }
+func isUnplaced(_ *round, _ *weightedShard, target *memberLoad) bool       { return target == nil }
+func isTargetLost(_ *round, _ *weightedShard, target *memberLoad) bool     { return !target.Alive }
+func isTargetStopping(_ *round, _ *weightedShard, target *memberLoad) bool { return target.Stopping }
 
-func isTargetUnreachable(shard *Shard, target *memberLoad) bool {
+func isTargetDraining(_ *round, _ *weightedShard, target *memberLoad) bool { return target.Draining }
+func isPinned(_ *round, shard *weightedShard, _ *memberLoad) bool          { return shard.Pinned }
+func alwaysApplies(*round, *weightedShard, *memberLoad) bool               { return true }
+
+func isTargetUnreachable(_ *round, shard *weightedShard, target *memberLoad) bool {
 	return shard.ReachableMember != "" && shard.ReachableMember != target.Name
 }
 
-func isTargetOverCapacity(_ *Shard, target *memberLoad) bool {
+func isTargetOverCapacity(_ *round, _ *weightedShard, target *memberLoad) bool {
 	return target.Capacity > 0 && target.load > target.Capacity
 }
 
-func isInForeignZone(shard *Shard, target *memberLoad) bool { return target.Zone != shard.Zone }
+func isInForeignZone(_ *round, shard *weightedShard, target *memberLoad) bool {
+	return target.Zone != shard.Zone
+}
 
 // firstApplicableRule returns the first rule that applies; the last one always does.
-func firstApplicableRule(shard *Shard, target *memberLoad) *rule {
+func (r *round) firstApplicableRule(shard *weightedShard) *rule {
+	target := r.target(shard)
 	for i := range rules {
-		if rules[i].applies(shard, target) {
+		if rules[i].applies(r, shard, target) {
 			return &rules[i]
 		}
 	}
