--- a/internal/placement/doc.go
+++ b/internal/placement/doc.go
@@ -9,8 +9,9 @@
 // same migrations.
 //
 // The load of a shard is the sum of the request rates that its proxies expect when they connect, not of the requests
-// that they forward. If no member has capacity left, a shard stays without a target, and its proxies keep using the
-// tables that they have.
+// that they forward. A load that is not known yet counts as the mean of the known ones where members are compared, and
+// as 0 towards their capacity. If no member has capacity left, a shard stays without a target, and its proxies keep
+// using the tables that they have.
 //
 // The decision table follows. For each shard the first rule that applies is used. A shard's target is the member that
 // should hold it.
@@ -18,14 +19,17 @@
 //	state of the shard                          migrates to                              when
 //	no target, or target is not a member        a member with capacity                   at once
 //	target not alive                            another member with capacity             at once: it serves no proxy
-//	its proxies reach another member only       that member                              at once; no return for a minute
+//	its proxies reach another member only (1)   that member                              at once; no return for a minute
 //	target stopping                             another member with capacity             at once: process waits for it
 //	target draining                             another member with capacity             one each move interval
 //	pinned by an operator                       -                                        -
 //	target over its capacity                    another member with capacity             one each move interval
-//	target in another zone                      a stable member of its zone              one each move interval
+//	target in another zone (2)                  a stable member of its zone              one each move interval
 //	target has more load than another member    a stable member as near, to balance load one each move interval
 //
+// (1) If that member can take the shard. (2) If a member of the shard's zone can take it, now or once it is stable. A
+// later rule is used otherwise: a rule that has no destination for good must not hold the shard.
+//
 // A member is as near as the target if it is in the shard's zone, or if the target is not. A stable member has been
 // alive for the stabilization period. The move interval applies to the member that gives up the shard, and in the last
 // two rules also to the member that gets it.
--- a/internal/placement/planner.go
+++ b/internal/placement/planner.go
@@ -223,6 +223,14 @@
 	return found && r.now-at < returnDelay
 }
 
+// hasZoneMember reports whether a member of the shard's zone, other than its target, accepts the shard now or once it
+// is stable.
+func (r *round) hasZoneMember(shard *weightedShard) bool {
+	return slices.ContainsFunc(r.members, func(member *memberLoad) bool {
+		return member.Zone == shard.Zone && member.accepts(shard.Load)
+	})
+}
+
 // mayMove reports whether the move interval has passed since a member's last rate-limited migration.
 func (r *round) mayMove(member *memberLoad) bool {
 	at, found := r.planner.lastMoveAt[member.Name]
--- a/internal/placement/planner_test.go
+++ b/internal/placement/planner_test.go
@@ -149,6 +149,58 @@
 	}
 }
 
+// While no member of a shard's zone lives, the shards of that zone are spread evenly over the others, one each move
+// interval. The rule that brings shards back to their zone held them where they were, for as long as the zone was lost.
+func TestShardsOfLostZoneAreSpreadEvenly(t *testing.T) {
+	cluster := newTestCluster(3, 2, 10)
+	cluster.planAfter(0)
+	cluster.members[2].Alive = false
+	for i := range cluster.shards {
+		if cluster.shards[i].Target == "member-zone2" {
+			cluster.shards[i].Target = "member-zone0"
+		}
+	}
+	if migrations := cluster.planAfter(testConfig.MoveInterval); len(migrations) != 1 {
+		t.Errorf("got migrations %v, want one", migrations)
+	}
+	if a, b := cluster.shardCount("member-zone0"), cluster.shardCount("member-zone1"); a != 3 || b != 3 {
+		t.Errorf("the remaining members have %d and %d shards, want 3 each", a, b)
+	}
+	if migrations := cluster.planAfter(testConfig.StabilizationPeriod); len(migrations) != 0 {
+		t.Errorf("got migrations %v of balanced shards, want none", migrations)
+	}
+}
+
+// While a returned member of the zone waits for the stabilization period, its shards wait too: a move to another member
+// would be one move too many.
+func TestShardWaitsForReturnedMemberOfItsZone(t *testing.T) {
+	cluster := newTestCluster(3, 2, 10)
+	cluster.planAfter(0)
+	for i := range cluster.shards {
+		if cluster.shards[i].Target == "member-zone2" {
+			cluster.shards[i].Target = "member-zone0"
+		}
+	}
+	cluster.members[2].AliveSince = cluster.now
+	if migrations := cluster.planAfter(testConfig.MoveInterval); len(migrations) != 0 {
+		t.Errorf("got migrations %v, want none before the member is stable", migrations)
+	}
+}
+
+// A stopping member gives up a shard although the member that the shard's proxies reach cannot take it. The rule for
+// unreachable members held the shard, and the process that is about to end waited for it.
+func TestStoppingMemberGivesUpShardWhenReachableMemberCannotTakeIt(t *testing.T) {
+	cluster := newTestCluster(3, 1, 10)
+	cluster.planAfter(0)
+	cluster.shards[0].ReachableMember = "member-zone1"
+	cluster.members[1].Draining = true
+	cluster.members[0].Stopping = true
+	migrations := cluster.planAfter(model.Second)
+	if len(migrations) == 0 || migrations[0].Shard != 0 || migrations[0].To != "member-zone2" {
+		t.Errorf("got migrations %v, want shard 0 on member-zone2 first", migrations)
+	}
+}
+
 // A shard stays unplaced while no member has capacity for it, and is placed once a member has.
 func TestShardStaysUnplacedWhenNoMemberHasCapacity(t *testing.T) {
 	cluster := newTestCluster(2, 2, 10)
@@ -249,6 +301,7 @@
 				t.Fatalf("migrations do not end without events: %v", migrations)
 			}
 		}
+		cluster.checkBalance(t)
 	})
 }
 
@@ -294,3 +347,25 @@
 	}
 	return fromLostMembers
 }
+
+// checkBalance fails the test if one migration between living members would lessen the difference of their loads. Only
+// members that may get the shard count, and no shard leaves its zone for balance.
+func (c *testCluster) checkBalance(t *rapid.T) {
+	for _, shard := range c.shards {
+		from := c.member(shard.Target)
+		if from == nil || !from.Alive || shard.Load == 0 {
+			continue
+		}
+		for _, to := range c.members {
+			isFull := to.Capacity > 0 && c.load(to.Name)+shard.Load > to.Capacity
+			leavesZone := from.Zone == shard.Zone && to.Zone != shard.Zone
+			if !to.Alive || to.Draining || isFull || leavesZone {
+				continue
+			}
+			if c.load(to.Name)+shard.Load < c.load(from.Name) {
+				t.Fatalf("shard %+v stays on %s with load %v, though %s has %v",
+					shard, from.Name, c.load(from.Name), to.Name, c.load(to.Name))
+			}
+		}
+	}
+}
--- a/internal/placement/rules.go
+++ b/internal/placement/rules.go
@@ -47,16 +47,24 @@
 func isPinned(_ *round, shard *weightedShard, _ *memberLoad) bool          { return shard.Pinned }
 func alwaysApplies(*round, *weightedShard, *memberLoad) bool               { return true }
 
-func isTargetUnreachable(_ *round, shard *weightedShard, target *memberLoad) bool {
-	return shard.ReachableMember != "" && shard.ReachableMember != target.Name
+// isTargetUnreachable does not apply while the member that the proxies reach cannot take the shard: a target that is
+// stopping or draining gives it up to another member then.
+func isTargetUnreachable(r *round, shard *weightedShard, target *memberLoad) bool {
+	if shard.ReachableMember == "" || shard.ReachableMember == target.Name {
+		return false
+	}
+	reachable := r.byName[shard.ReachableMember]
+	return reachable != nil && reachable.accepts(shard.Load)
 }
 
 func isTargetOverCapacity(_ *round, _ *weightedShard, target *memberLoad) bool {
 	return target.Capacity > 0 && target.load > target.Capacity
 }
 
-func isInForeignZone(_ *round, shard *weightedShard, target *memberLoad) bool {
-	return target.Zone != shard.Zone
+// isInForeignZone does not apply while no member of the shard's zone can take it: members of other zones share its
+// load evenly then.
+func isInForeignZone(r *round, shard *weightedShard, target *memberLoad) bool {
+	return target.Zone != shard.Zone && r.hasZoneMember(shard)
 }
 
 // firstApplicableRule returns the first rule that applies; the last one always does.
