--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -115,7 +115,7 @@
 func (b *Balancer) Acknowledged(now model.Microseconds, id model.ProxyID, sequence uint32) {
 	b.now = now
 	if p := b.proxiesByID[id]; p != nil {
-		b.window.acknowledge(p, int(sequence))
+		b.window.acknowledge(now, p, int(sequence))
 	}
 }
 
@@ -154,6 +154,7 @@
 func (b *Balancer) Flush(now model.Microseconds) {
 	b.now = now
 	if b.timerFired || b.fleetChanged {
+		b.window.releaseOvertaken(b.proxies)
 		b.window.countAgedEntries(now, b.proxies)
 		b.updateWithdrawalsWait()
 		b.binder.clearCosts()
@@ -162,6 +163,7 @@
 		b.removeUnavailableEntries()
 		b.sendDeferred(b.binder.withdrawalsBlocked)
 		b.updateWeights()
+		b.probeChannel()
 		b.timerFired = false
 		b.fleetChanged = false
 	}
--- a/internal/balancer/binding.go
+++ b/internal/balancer/binding.go
@@ -41,7 +41,10 @@
 	connectedAt model.Microseconds
 	reserved    int // entries reserved in the send window for the message being written; 0: the proxy does not get it
 	deferred    deferredParts
-	unacked     []sentMessage
+	unacked     []sentMessage // the oldest first
+	overtaken   int           // of these, how many have left the channel, see releaseOvertaken
+	// acknowledgedAt is when it last acknowledged a message; 0: never.
+	acknowledgedAt model.Microseconds
 	// messageDueAt is when the next message is due if messages are one interval of the pacing apart.
 	messageDueAt model.Microseconds
 }
--- a/internal/balancer/invariants_test.go
+++ b/internal/balancer/invariants_test.go
@@ -180,6 +180,25 @@
 		c.fleet.setStatus(model.EndpointGone, c.replicasOfZone(zone)...)
 	case 8:
 		c.restartBalancer()
+	case 9:
+		c.drawSilence()
+	}
+}
+
+// drawSilence changes how some proxies treat messages. Without partial delivery all are responsive: a silent proxy
+// holds up each update that concerns it there.
+func (c *randomRun) drawSilence() {
+	if !c.fleet.config.PartialDelivery {
+		return
+	}
+	mode := rapid.SampledFrom([]responsiveness{
+		responsive, hung, acknowledgingNone, acknowledgingHalf,
+	}).Draw(c.t, "responsiveness")
+	for range rapid.IntRange(1, c.proxies).Draw(c.t, "changes") {
+		id := model.ProxyID(rapid.IntRange(0, c.proxies-1).Draw(c.t, "proxy"))
+		if c.fleet.proxies[id].connected {
+			c.fleet.setResponsiveness(id, mode)
+		}
 	}
 }
 
--- a/internal/balancer/partialdelivery.go
+++ b/internal/balancer/partialdelivery.go
@@ -43,7 +43,7 @@
 		return false
 	}
 	var deferred []messagePart
-	for _, part := range longestDeferredFirst(parts) {
+	for _, part := range inSendingOrder(parts) {
 		if part.proxy.reserved > 0 || w.mayTake(now, part.proxy, part.entries, limits) {
 			w.take(part.proxy, part.entries)
 		} else {
@@ -72,20 +72,29 @@
 	return extended == 0 || !w.exceedsQueue(w.countedEntries(limits)+extended, limits.queueShare)
 }
 
-// longestDeferredFirst returns the parts with those first whose proxies wait for deferred parts, the longest waiting
-// ones at the front.
-func longestDeferredFirst(parts []messagePart) []messagePart {
-	isWaiting := func(part messagePart) bool { return part.proxy.deferred.entries > 0 }
-	if !slices.ContainsFunc(parts, isWaiting) {
+// inSendingOrder returns the parts with those first whose proxies wait for deferred parts, the longest waiting ones at
+// the front, and with those of proxies that are behind last.
+func inSendingOrder(parts []messagePart) []messagePart {
+	isSpecial := func(part messagePart) bool { return part.proxy.deferred.entries > 0 || part.proxy.isBehind() }
+	if !slices.ContainsFunc(parts, isSpecial) {
 		return parts
 	}
 	sorted := slices.Clone(parts)
-	slices.SortStableFunc(sorted, func(x, y messagePart) int {
-		return cmp.Compare(x.proxy.deferred.waitingSince(), y.proxy.deferred.waitingSince())
-	})
+	slices.SortStableFunc(sorted, func(x, y messagePart) int { return compareSendingOrder(x.proxy, y.proxy) })
 	return sorted
 }
 
+// compareSendingOrder compares two proxies as slices.SortFunc requires.
+func compareSendingOrder(p, q *proxy) int {
+	switch {
+	case p.isBehind() && !q.isBehind():
+		return 1
+	case q.isBehind() && !p.isBehind():
+		return -1
+	}
+	return cmp.Compare(p.deferred.waitingSince(), q.deferred.waitingSince())
+}
+
 // mayTake reports whether further entries may be sent to a proxy now.
 func (w *sendWindow) mayTake(now model.Microseconds, p *proxy, entries int, limits budget) bool {
 	total := w.countedEntries(limits) + w.cost(p, entries)
@@ -116,7 +125,7 @@
 }
 
 // sendDeferred sends what was deferred for proxies to those for which the send window has capacity, the longest waiting
-// ones first. Deferred parts that are not urgent are left out if urgentOnly is set.
+// ones first, and those that are behind last. Deferred parts that are not urgent are left out if urgentOnly is set.
 func (b *Balancer) sendDeferred(urgentOnly bool) {
 	var waiting []*proxy
 	for _, p := range b.proxies {
@@ -124,7 +133,7 @@
 			waiting = append(waiting, p)
 		}
 	}
-	slices.SortStableFunc(waiting, func(p, q *proxy) int { return cmp.Compare(p.deferred.since, q.deferred.since) })
+	slices.SortStableFunc(waiting, compareSendingOrder)
 	for _, p := range waiting {
 		if b.window.mayTake(b.now, p, 0, p.deferred.limits) {
 			b.window.take(p, 0)
--- a/internal/balancer/sendwindow.go
+++ b/internal/balancer/sendwindow.go
@@ -39,6 +39,7 @@
 // sentMessage is a message that a proxy has not acknowledged.
 type sentMessage struct {
 	sequence int
+	flush    uint64             // the flush in which it was sent
 	entries  int                // entries reserved for the message, including its overhead
 	at       model.Microseconds // send time
 }
@@ -54,7 +55,10 @@
 	agedEntries    int      // entries added for the age of unacknowledged messages
 	sequence       int      // sequence number of the last message
 	recipients     []*proxy // proxies that get the message being written
-	ackFromAll     bool     // every proxy is to acknowledge the message, also proxies that are not in recipients
+
+	flush             uint64 // number of the flush in which the last message was sent
+	acknowledgedFlush uint64 // newest flush of which a message was acknowledged
+	ackFromAll        bool   // every proxy is to acknowledge the message, also proxies that are not in recipients
 
 	messageRefusals int // updates refused because of the message limit, since the start
 	queueRefusals   int // updates refused because of the queue limit, since the start
@@ -76,7 +80,7 @@
 	w.agedEntries = 0
 	for _, p := range proxies {
 		for _, message := range p.unacked {
-			excessAge := int(max(0, now-message.at-model.Second))
+			excessAge := int(max(0, now-message.at-answerTimeout))
 			w.agedEntries += excessAge * message.entries / int(model.Second)
 		}
 	}
@@ -175,13 +179,14 @@
 // nextSequence returns the sequence number of the message being written.
 func (w *sendWindow) nextSequence() uint32 {
 	w.sequence = (w.sequence + 1) % sequenceNumbers
+	w.flush++
 	return uint32(w.sequence)
 }
 
 // recordSent records the message that was written as unacknowledged by each of its recipients.
 func (w *sendWindow) recordSent(now model.Microseconds) {
 	for _, p := range w.recipients {
-		p.unacked = append(p.unacked, sentMessage{w.sequence, p.reserved, now})
+		p.unacked = append(p.unacked, sentMessage{w.sequence, w.flush, p.reserved, now})
 		w.pacing.recordSent(now, p)
 		p.reserved = 0
 	}
@@ -189,8 +194,12 @@
 }
 
 // acknowledge releases the entries of a proxy's messages up to a sequence number. An unknown number releases nothing.
-func (w *sendWindow) acknowledge(p *proxy, sequence int) {
+func (w *sendWindow) acknowledge(now model.Microseconds, p *proxy, sequence int) {
 	lastIndex := slices.IndexFunc(p.unacked, func(m sentMessage) bool { return m.sequence == sequence })
+	if lastIndex >= 0 {
+		p.acknowledgedAt = now
+		w.acknowledgedFlush = max(w.acknowledgedFlush, p.unacked[lastIndex].flush)
+	}
 	w.release(p, lastIndex+1)
 }
 
@@ -200,6 +209,7 @@
 		w.unackedEntries -= message.entries
 	}
 	p.unacked = p.unacked[count:]
+	p.overtaken = max(0, p.overtaken-count)
 }
 
 // recipientIDs returns the proxies that get the message being written, or nil without partial delivery.
--- a/internal/balancer/simulatedfleet_test.go
+++ b/internal/balancer/simulatedfleet_test.go
@@ -48,6 +48,16 @@
 	startedAt  model.Microseconds
 }
 
+// responsiveness is how a connected proxy treats the messages that arrive.
+type responsiveness uint8
+
+const (
+	responsive        responsiveness = iota // it applies and acknowledges each
+	hung                                    // it reads nothing until it is responsive again
+	acknowledgingNone                       // it applies each and acknowledges none
+	acknowledgingHalf                       // it applies each and acknowledges every second one
+)
+
 type simulatedProxy struct {
 	zone        int
 	connected   bool
@@ -60,6 +70,10 @@
 	table       model.TableID
 	bound       bool                     // the balancer has bound it in this stream
 	notified    map[model.ReplicaID]bool // replicas whose withdrawal its messages of this stream contain
+
+	responsiveness responsiveness
+	unread         []*simulatedMessage // messages that arrived while it was hung
+	readCount      int
 }
 
 // simulatedMessage is a message to a proxy, which applies its changes when it arrives.
@@ -249,7 +263,7 @@
 // proxiesToSend returns the proxies whose messages are sent in this flush, in order.
 func (f *simulatedFleet) proxiesToSend() []model.ProxyID {
 	if f.config.PartialDelivery {
-		return slices.Sorted(slices.Values(f.recipients))
+		return f.recipients
 	}
 	return slices.Sorted(maps.Keys(f.pendingMessages))
 }
@@ -348,20 +362,46 @@
 	if p == nil || !p.connected || p.stream != message.stream {
 		return
 	}
+	if p.responsiveness == hung {
+		p.unread = append(p.unread, message)
+		return
+	}
+	f.read(p, message)
+}
+
+// read makes a proxy apply a message and acknowledge it.
+func (f *simulatedFleet) read(p *simulatedProxy, message *simulatedMessage) {
 	for _, change := range message.changes {
 		change(p)
 	}
+	p.readCount++
 	f.checkProxies()
-	if message.requestsAck {
+	acknowledges := p.responsiveness == responsive || p.responsiveness == acknowledgingHalf && p.readCount%2 == 0
+	if message.requestsAck && acknowledges {
 		f.balancer.Acknowledged(f.now, message.to, message.sequence)
 	}
 }
 
+// setResponsiveness changes how a proxy treats messages. One that is no longer hung reads what has arrived.
+func (f *simulatedFleet) setResponsiveness(id model.ProxyID, responsiveness responsiveness) {
+	p := f.proxies[id]
+	wasHung := p.responsiveness == hung
+	p.responsiveness = responsiveness
+	if !wasHung || responsiveness == hung {
+		return
+	}
+	p.emptySince = never
+	for len(p.unread) > 0 {
+		f.read(p, p.unread[0])
+		p.unread = p.unread[1:]
+	}
+}
+
 // checkProxies checks the entries and withdrawals of each connected proxy.
 func (f *simulatedFleet) checkProxies() {
 	hasWarm := f.hasWarmReplica()
 	for id, p := range f.proxies {
-		if !p.connected {
+		if !p.connected || p.responsiveness == hung || len(p.unread) > 0 {
 			continue
 		}
 		f.checkDrained(id, p)
@@ -424,6 +464,7 @@
 	p.bound = false
 	p.emptySince = never
 	p.sentAt = nil
+	p.unread = nil
 	p.notified = map[model.ReplicaID]bool{}
 	p.stream++
 	f.balancer.ProxyConnected(f.now, id, p.zone, 5)
--- a/internal/model/publisher.go
+++ b/internal/model/publisher.go
@@ -23,8 +23,9 @@
 
 	// RequestAck adds an acknowledgement sequence to the messages of this flush. Each proxy that receives one responds
 	// once it has applied it and all earlier messages. With fromAll, connected proxies that the flush does not affect
-	// are sent a message too. With Config.PartialDelivery only the recipients get a message; what the flush or an earlier
-	// one changes for another proxy is kept and belongs to the next message to that proxy. Without it, recipients is nil.
+	// are sent a message too. With Config.PartialDelivery only the recipients get a message, and they are sent in this
+	// order; what the flush or an earlier one changes for another proxy is kept and belongs to the next message to that
+	// proxy. Without it, recipients is nil.
 	RequestAck(sequence uint32, fromAll bool, recipients []ProxyID)
 
 	// SetTimer requests a call of the balancer's TimerFired after a delay. At most one timer is pending: the balancer sets
--- a/internal/snapshot/state.go
+++ b/internal/snapshot/state.go
@@ -94,17 +94,19 @@
 	return deliveries
 }
 
-// deliverToRecipients returns one message for each recipient of a batch that is subscribed. The pending changes of the
-// other subscribers are kept, each once.
+// deliverToRecipients returns one message for each recipient of a batch that is subscribed, in the order of the
+// recipients. The pending changes of the other subscribers are kept, each once.
 func (s *State) deliverToRecipients(batch *Batch) (deliveries []Delivery) {
-	isRecipient := make(map[model.ProxyID]bool, len(batch.Recipients))
+	isRecipient := make(map[*Subscriber]bool, len(batch.Recipients))
 	for _, proxy := range batch.Recipients {
-		isRecipient[proxy] = true
+		subscriber := s.SubscribersByProxy[proxy]
+		if subscriber != nil && !isRecipient[subscriber] {
+			isRecipient[subscriber] = true
+			deliveries = append(deliveries, s.deliver(subscriber, batch))
+		}
 	}
 	for _, subscriber := range s.Subscribers {
-		if isRecipient[subscriber.Proxy] {
-			deliveries = append(deliveries, s.deliver(subscriber, batch))
-		} else if subscriber.pending != nil {
+		if subscriber.pending != nil && !isRecipient[subscriber] {
 			subscriber.pending.removeDuplicates()
 		}
 	}
