--- a/internal/config/channel.go
+++ b/internal/config/channel.go
@@ -23,6 +23,7 @@
 	HeldBytes        int           // memory of one peer's command that has not arrived completely
 	TotalHeldBytes   int           // the same of all peers in total
 	CommandTimeout   time.Duration // time within which a command must arrive completely
+	SilenceTimeout   time.Duration // time after which the stream of a silent proxy ends
 	ProxyNames       int           // names of proxies that are remembered
 	JoinRate         float64       // joins per second; 0: no limit
 	JoinBurst        int           // joins at once
@@ -42,6 +43,7 @@
 		HeldBytes:        b.Int("held_bytes", 0, 0, maxHeldBytes),
 		TotalHeldBytes:   b.Int("held_all_bytes", 0, 0, maxTotalHeldBytes),
 		CommandTimeout:   b.Duration("unfinished", 0, 0, maxDuration).Duration(),
+		SilenceTimeout:   b.Duration("silence", 0, 0, maxDuration).Duration(),
 		ProxyNames:       b.Int("names_most", 0, 0, math.MaxUint16),
 		JoinRate:         b.Float("joins", 0, 0, maxCount),
 		JoinBurst:        b.Int("joins_burst", 50, 1, maxCount),
--- a/internal/config/reload.go
+++ b/internal/config/reload.go
@@ -34,7 +34,7 @@
 	{"channel: intake", func(s *Server) any { return s.ReportLimit }, ""},
 	{
 		"channel: connections, observers, unsent_bytes, unsent_all_bytes, greeting, held_bytes, " +
-			"held_all_bytes, unfinished, names_most, commands, joins, joined_most",
+			"held_all_bytes, unfinished, silence, names_most, commands, joins, joined_most",
 		func(s *Server) any { return s.PeerLimits }, "",
 	},
 	{
--- a/internal/console/metrics.go
+++ b/internal/console/metrics.go
@@ -66,6 +66,8 @@
 		func(m metricsState) float64 { return float64(m.stats.UnreadReplies) }),
 	counter("names_forgotten_total", "Names of proxies that were forgotten for new ones.",
 		func(m metricsState) float64 { return float64(m.stats.NamesForgotten) }),
+	counter("streams_silent_total", "Streams ended because their proxies were silent.",
+		func(m metricsState) float64 { return float64(m.stats.Silent) }),
 	counter("messages_total", "Messages sent to forwarders.",
 		func(m metricsState) float64 { return float64(m.stats.Messages) }),
 	counter("lines_total", "Lines sent to forwarders, by cost.",
--- a/internal/pubsub/config.go
+++ b/internal/pubsub/config.go
@@ -20,6 +20,7 @@
 	HeldBytes        int            // memory of one peer's unfinished command; more ends the connection
 	TotalHeldBytes   int            // the same for all peers; beyond it peers above their even share get a retry delay
 	CommandTimeout   time.Duration  // within which a command arrives completely after its first bytes
+	SilenceTimeout   time.Duration  // without anything from a proxy that owes an acknowledgement; then its stream ends
 	ProxyNames       int            // names that keep their number; for one more the longest idle one is forgotten
 }
 
@@ -36,6 +37,7 @@
 	HeldBytes:        8 << 20,
 	TotalHeldBytes:   64 << 20,
 	CommandTimeout:   10 * time.Second,
+	SilenceTimeout:   10 * time.Second,
 	ProxyNames:       maxProxyNames,
 }
 
@@ -49,6 +51,7 @@
 	l.HeldBytes = positiveOr(l.HeldBytes, DefaultLimits.HeldBytes)
 	l.TotalHeldBytes = positiveOr(l.TotalHeldBytes, DefaultLimits.TotalHeldBytes)
 	l.CommandTimeout = positiveOr(l.CommandTimeout, DefaultLimits.CommandTimeout)
+	l.SilenceTimeout = positiveOr(l.SilenceTimeout, DefaultLimits.SilenceTimeout)
 	l.ProxyNames = min(positiveOr(l.ProxyNames, DefaultLimits.ProxyNames), maxProxyNames)
 	if l.CommandRate.PerSecond <= 0 {
 		l.CommandRate = DefaultLimits.CommandRate
--- a/internal/pubsub/connection.go
+++ b/internal/pubsub/connection.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/lesismal/nbio"
@@ -34,6 +35,8 @@
 	// deadlineCommand is the number of the command by which a read deadline was set that ends the connection unless the
 	// command arrives completely; 0: none is set.
 	deadlineCommand uint64
+
+	lastReceivedAt atomic.Int64 // in model.Microseconds
 }
 
 // stream is the state of a connection on which a proxy joins. The fields join and shard are set once a JOIN was read,
@@ -47,6 +50,7 @@
 	subscriber         *snapshot.Subscriber // nil until admitted
 	lastReportSequence uint64               // number of the newest load report
 	resyncedAt         model.Microseconds
+	silence            silenceState
 }
 
 // An error that ends a connection and tells the peer when or where to join again begins with one of these words; any
@@ -87,6 +91,7 @@
 
 // readCommands decodes received bytes into commands. A protocol error ends the connection.
 func (s *Server) readCommands(conn *connection, data []byte) {
+	conn.lastReceivedAt.Store(int64(s.config.Now()))
 	err := conn.reader.Feed(data, conn.handleCommand)
 	switch {
 	case err == nil:
--- a/internal/pubsub/delivery.go
+++ b/internal/pubsub/delivery.go
@@ -87,6 +87,9 @@
 		}
 		message.Epoch = epoch
 	}
+	if message.AckSequence >= 0 {
+		conn.stream.silence.recordSent(message.AckSequence, s.config.Now())
+	}
 	s.stats.Messages++
 	s.stats.Entries += uint64(message.Cost)
 	s.connections.Write(conn, pubsubmsg.Append(nil, message))
--- a/internal/pubsub/proxycommand.go
+++ b/internal/pubsub/proxycommand.go
@@ -35,10 +35,17 @@
 	if ack.Incarnation != c.server.config.Incarnation || isOutOfRange {
 		return nil
 	}
+	c.recordAcknowledged(ack.Sequence)
 	c.server.events.Acknowledged(c.stream.proxy, c.stream.id, uint32(ack.Sequence))
 	return nil
 }
 
+func (c *connection) recordAcknowledged(sequence int) {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	c.stream.silence.recordAcknowledged(sequence, c.server.config.Now())
+}
+
 // reportLoad handles SUMS, which contains load reports. A repeated or older sequence number is ignored.
 func (c *connection) reportLoad(args []resp.Value) error {
 	message, err := pubsubmsg.ParseLoadReports(args)
--- a/internal/pubsub/server.go
+++ b/internal/pubsub/server.go
@@ -44,6 +44,8 @@
 	misrouted        misroutedProxies
 	lastID           uint64 // last number of a connection or a stream
 	shutdownDeadline time.Time
+	silenceCheckedAt model.Microseconds // when streams were last checked for silent proxies
+	resumedAt        model.Microseconds // when the instance last ran again after it had not for a while
 	stats            Stats
 }
 
@@ -90,8 +92,8 @@
 	s.joins.SetLimits(joins, s.config.Now())
 }
 
-// sendQueued sends messages when they are due, and snapshots to slow readers once they resume reading, until the server
-// closes.
+// sendQueued sends messages when they are due, and snapshots to slow readers once they resume reading, and ends the
+// streams of silent proxies, until the server closes.
 func (s *Server) sendQueued() {
 	timer := time.NewTimer(maxSendWait)
 	defer timer.Stop()
@@ -100,6 +102,7 @@
 		now := s.config.Now()
 		s.sendDueMessages(now)
 		s.sendFoldedSnapshots()
+		s.endSilentStreams(now)
 		wait := s.nextSendWait(now)
 		s.mu.Unlock()
 		timer.Reset(max(wait, minSendWait))
@@ -118,6 +121,9 @@
 	if departsAt, ok := s.queue.nextDeparture(); ok {
 		wait = time.Duration(departsAt-now) * time.Microsecond
 	}
+	if len(s.streams) > 0 {
+		wait = min(wait, silenceCheckInterval)
+	}
 	if len(s.slowReaders) > 0 {
 		wait = min(wait, foldedCheckInterval)
 	}
--- a/internal/pubsub/stats.go
+++ b/internal/pubsub/stats.go
@@ -26,6 +26,7 @@
 	OverMemory       uint64 `json:"held_put_off"` // peers that exceeded the limits on this memory
 	UnreadReplies    uint64 `json:"unread"`       // peers ended because they did not read their replies
 	NamesForgotten   uint64 `json:"forgotten"`    // names of proxies that were forgotten for new ones
+	Silent           uint64 `json:"silent"`       // streams ended because their proxies were silent
 }
 
 // Stats returns the current statistics.
--- a/internal/server/settings.go
+++ b/internal/server/settings.go
@@ -63,6 +63,7 @@
 		HeldBytes:        limits.HeldBytes,
 		TotalHeldBytes:   limits.TotalHeldBytes,
 		CommandTimeout:   limits.CommandTimeout,
+		SilenceTimeout:   limits.SilenceTimeout,
 		ProxyNames:       limits.ProxyNames,
 		CommandRate:      admission.Rate{PerSecond: limits.CommandRate, Burst: limits.CommandBurst},
 	}
