--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -23,8 +23,10 @@
 
 	replicas     []*replica // in random order
 	replicasByID map[model.ReplicaID]*replica
-	proxies      []*proxy // in the order in which they connected
-	proxiesByID  map[model.ProxyID]*proxy
+	// hasCachedList: a former incarnation has left its endpoint list. Without one nothing is known of its proxies.
+	hasCachedList bool
+	proxies       []*proxy // in the order in which they connected
+	proxiesByID   map[model.ProxyID]*proxy
 
 	safeMode  safeMode
 	deadlines deadlineQueue
@@ -88,6 +90,9 @@
 	if update != model.ChangedEntries {
 		b.removeUnlisted(listed)
 	}
+	if update == model.CachedList {
+		b.recordAvailability()
+	}
 }
 
 // ProxyConnected adds a proxy whose stream is established; expectedRate is in requests a second. The proxy may still
@@ -158,6 +163,7 @@
 		b.window.countAgedEntries(now, b.proxies)
 		b.updateWithdrawalsWait()
 		b.binder.clearCosts()
+		b.readmitInSafeMode()
 		b.bindProxies()
 		b.withdrawReplicas()
 		b.removeUnavailableEntries()
--- a/internal/balancer/binding.go
+++ b/internal/balancer/binding.go
@@ -133,18 +133,23 @@
 	return urgentByZone
 }
 
-// mayHaveEmptyTable reports whether withdrawals may have emptied a standing table of a zone. A standing table has at
-// most StandingTableSize entries; all of them are replicas of the zone if the zone has at least minZoneTableReplicas
-// replicas.
+// mayHaveEmptyTable reports whether proxies of a zone that this balancer has not bound may have nothing to pick, as
+// withdrawals may have emptied a standing table, or a table of the former incarnation. A standing table has at most
+// StandingTableSize entries; all of them are replicas of the zone if the zone has at least minZoneTableReplicas
+// replicas. Proxies keep the withdrawals of the former incarnation, and have no entry of what was unavailable to it, so
+// such replicas count although they may be ready now; not without partial delivery, where readmissions wait for the end
+// of safe mode, so that a bind would not help.
 func (b *Balancer) mayHaveEmptyTable(zone int) bool {
 	candidate := func(r *replica) bool { return r.zone == zone }
 	if b.countReplicas(candidate) < minZoneTableReplicas {
 		candidate = func(*replica) bool { return true }
 	}
-	withdrawn := b.countReplicas(func(r *replica) bool { return candidate(r) && b.mustWithdraw(r) })
+	unusable := b.countReplicas(func(r *replica) bool {
+		return candidate(r) && (b.mustWithdraw(r) || r.unavailableBefore && b.config.PartialDelivery)
+	})
 	replacementLeft := b.countReplicas(b.mustWithdraw) < len(b.replicas)
-	return withdrawn > 0 && replacementLeft &&
-		withdrawn >= min(b.config.StandingTableSize, b.countReplicas(candidate))
+	return unusable > 0 && replacementLeft &&
+		unusable >= min(b.config.StandingTableSize, b.countReplicas(candidate))
 }
 
 // bindCost is the highest cost of a bind in a zone, in entries. It includes bindOverhead for each table of the bind,
--- a/internal/balancer/drain.go
+++ b/internal/balancer/drain.go
@@ -274,12 +274,7 @@
 
 // readmitReplicas readmits the withdrawn replicas that no longer need to be withdrawn.
 func (b *Balancer) readmitReplicas() {
-	var readmitted []*replica
-	for _, r := range b.replicas {
-		if r.withdrawn && !b.mustWithdraw(r) {
-			readmitted = append(readmitted, r)
-		}
-	}
+	readmitted := b.readmittable()
 	if b.config.PartialDelivery {
 		b.setWithdrawnInParts(readmitted, false, weightBudget)
 		return
@@ -288,3 +283,13 @@
 		b.setWithdrawn([]*replica{r}, false, weightBudget)
 	}
 }
+
+// readmittable returns the withdrawn replicas that no longer need to be withdrawn.
+func (b *Balancer) readmittable() (replicas []*replica) {
+	for _, r := range b.replicas {
+		if r.withdrawn && !b.mustWithdraw(r) {
+			replicas = append(replicas, r)
+		}
+	}
+	return replicas
+}
--- a/internal/balancer/partialdelivery.go
+++ b/internal/balancer/partialdelivery.go
@@ -202,6 +202,30 @@
 	return true
 }
 
+// readmitInSafeMode readmits the replicas that no longer need to be withdrawn. This cannot wait for the end of safe
+// mode: a proxy that is bound early may have no other entries, and no proxy can report a replica that it may not pick.
+// An unbound proxy gets the readmission with its next message, at the latest with its bind: it may have no entry of a
+// replica that was not available before.
+func (b *Balancer) readmitInSafeMode() {
+	if !b.config.PartialDelivery || !b.safeMode.active() {
+		return
+	}
+	readmitted := b.readmittable()
+	for _, part := range b.withdrawalParts(readmitted, false) {
+		switch {
+		case part.proxy.state == unbound:
+			b.window.deferPart(b.now, part, weightBudget)
+		case b.window.mayTake(b.now, part.proxy, part.entries, withdrawalBudget):
+			b.window.take(part.proxy, part.entries)
+		default:
+			b.window.deferPart(b.now, part, withdrawalBudget)
+		}
+	}
+	for _, r := range readmitted {
+		b.publishWithdrawn(r, false)
+	}
+}
+
 // withdrawalParts returns the proxies that are concerned by the withdrawal or readmission of some replicas, in the
 // order in which they connected, each with the number of replicas that concern it. A proxy is concerned by a replica if
 // it may hold an entry of the replica and has not been notified: if it uses a table with the replica, or is unbound. A
--- a/internal/balancer/partialdelivery_test.go
+++ b/internal/balancer/partialdelivery_test.go
@@ -58,15 +58,33 @@
 
 // advanceFor advances the fleet, with ticks, and with reports of all ready replicas once a second.
 func (f *simulatedFleet) advanceFor(span model.Microseconds) {
+	f.advanceWithReports(span, f.allReplicas)
+}
+
+// advanceWithReports advances the fleet, with ticks, and once a second with reports of those of the given replicas that
+// are ready.
+func (f *simulatedFleet) advanceWithReports(span model.Microseconds, reported func() []int) {
 	for tick := 1; tick <= int(span/tickSpan); tick++ {
 		f.advanceTo(f.now + tickSpan)
 		if tick%ticksPerSecond == 0 {
-			f.reportReady(f.allReplicas())
+			f.reportReady(reported())
 		}
 		f.tick()
 	}
 }
 
+// replicasInUse returns the replicas that a connected proxy may pick.
+func (f *simulatedFleet) replicasInUse() []int {
+	return f.replicasWhere(func(n int) bool {
+		for _, p := range f.proxies {
+			if p.connected && p.mayPick(replicaID(n)) {
+				return true
+			}
+		}
+		return false
+	})
+}
+
 // changeStatus changes the status of replicas and flushes, as the controller does.
 func (f *simulatedFleet) changeStatus(status model.EndpointStatus, numbers ...int) {
 	f.setStatus(status, numbers...)
--- a/internal/balancer/replica.go
+++ b/internal/balancer/replica.go
@@ -73,6 +73,7 @@
 	withdrawnAt            model.Microseconds // when a withdrawal or readmission was last sent
 	withdrawnUrgently      bool               // its withdrawal was sent as that of a draining or unlisted replica
 	maybeWithdrawnByOthers bool               // other balancers may have withdrawn the replica
+	unavailableBefore      bool               // the cached list has it as draining or gone, or does not name it
 }
 
 // listedReady reports whether the endpoint list has a replica as ready. The replica may be withdrawn.
@@ -98,7 +99,7 @@
 	if existing := b.replicasByID[id]; existing != nil {
 		return existing
 	}
-	added := &replica{id: id, state: absent}
+	added := &replica{id: id, state: absent, unavailableBefore: b.hasCachedList}
 	b.replicasByID[id] = added
 	b.replicas = slices.Insert(b.replicas, b.random.intn(len(b.replicas)+1), added)
 	return added
@@ -132,6 +133,14 @@
 	return startedAt > 0 && startedAt != r.startedAt && b.now-startedAt < slowStartSpan
 }
 
+// recordAvailability records which replicas the former incarnation had available, as far as the cached list tells.
+func (b *Balancer) recordAvailability() {
+	b.hasCachedList = true
+	for _, r := range b.replicas {
+		r.unavailableBefore = !r.listedReady()
+	}
+}
+
 // removeUnlisted applies removedFromList to every replica that a complete endpoint list does not name.
 func (b *Balancer) removeUnlisted(listed map[*replica]bool) {
 	for _, r := range b.replicas {
