--- a/internal/console/metrics.go
+++ b/internal/console/metrics.go
@@ -68,6 +68,8 @@
 		func(m metricsState) float64 { return float64(m.stats.NamesForgotten) }),
 	counter("streams_silent_total", "Streams ended because their proxies were silent.",
 		func(m metricsState) float64 { return float64(m.stats.Silent) }),
+	counter("incarnations_raised_total", "Joins that showed that the incarnation was used before.",
+		func(m metricsState) float64 { return float64(m.stats.IncarnationsRaised) }),
 	counter("messages_total", "Messages sent to forwarders.",
 		func(m metricsState) float64 { return float64(m.stats.Messages) }),
 	counter("lines_total", "Lines sent to forwarders, by cost.",
--- a/internal/pubsub/config.go
+++ b/internal/pubsub/config.go
@@ -76,17 +76,20 @@
 
 // Config is a server's configuration.
 type Config struct {
-	Listen           string // host:port
-	Incarnation      uint64
-	Zones            []string
-	ReportPeriod     model.Microseconds // over which proxies aggregate a load report
-	MessageOverhead  int                // cost of a message in entries, added to its own entries
-	EntriesPerSecond float64            // rate at which messages are sent, by their cost
-	Limits           Limits
-	JoinLimits       admission.Limits // rate at which proxies may join; zero: unlimited
-	Leases           Leases           // nil: this controller may send updates to every joined proxy
-	Now              func() model.Microseconds
-	Log              zerolog.Logger
+	Listen      string // host:port
+	Incarnation uint64
+	Zones       []string
+	// IncarnationRaised is called with a higher incarnation that the server uses from then on, so that the next start
+	// uses a higher one still. It is called with the server's lock held and must not call the server; nil: nothing.
+	IncarnationRaised func(incarnation uint64)
+	ReportPeriod      model.Microseconds // over which proxies aggregate a load report
+	MessageOverhead   int                // cost of a message in entries, added to its own entries
+	EntriesPerSecond  float64            // rate at which messages are sent, by their cost
+	Limits            Limits
+	JoinLimits        admission.Limits // rate at which proxies may join; zero: unlimited
+	Leases            Leases           // nil: this controller may send updates to every joined proxy
+	Now               func() model.Microseconds
+	Log               zerolog.Logger
 }
 
 // Leases reports which proxies a controller may send updates to when controllers divide the proxies into shards. It is
--- a/internal/pubsub/join.go
+++ b/internal/pubsub/join.go
@@ -59,7 +59,7 @@
 		s.redirect(conn)
 		return false, nil
 	}
-	if !s.admitJoin(conn) {
+	if !s.admitJoin(conn) || !s.admitIncarnation(conn) {
 		return false, nil
 	}
 	proxy, err := s.proxyID(join.Name)
--- a/internal/pubsub/proxycommand.go
+++ b/internal/pubsub/proxycommand.go
@@ -32,18 +32,22 @@
 		return err
 	}
 	isOutOfRange := ack.Sequence < 0 || ack.Sequence > maxAckSequence
-	if ack.Incarnation != c.server.config.Incarnation || isOutOfRange {
+	if isOutOfRange || !c.recordAcknowledged(ack) {
 		return nil
 	}
-	c.recordAcknowledged(ack.Sequence)
 	c.server.events.Acknowledged(c.stream.proxy, c.stream.id, uint32(ack.Sequence))
 	return nil
 }
 
-func (c *connection) recordAcknowledged(sequence int) {
+// recordAcknowledged records an acknowledgement, and reports whether it is one of this incarnation.
+func (c *connection) recordAcknowledged(ack pubsubmsg.Ack) bool {
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
-	c.stream.silence.recordAcknowledged(sequence, c.server.config.Now())
+	if ack.Incarnation != c.server.publishedState.Incarnation {
+		return false
+	}
+	c.stream.silence.recordAcknowledged(ack.Sequence, c.server.config.Now())
+	return true
 }
 
 // reportLoad handles SUMS, which contains load reports. A repeated or older sequence number is ignored.
--- a/internal/pubsub/server.go
+++ b/internal/pubsub/server.go
@@ -45,6 +45,7 @@
 	lastID           uint64 // last number of a connection or a stream
 	shutdownDeadline time.Time
 	silenceCheckedAt model.Microseconds // when streams were last checked for silent proxies
+	raisedAt         model.Microseconds // when the incarnation was last raised
 	resumedAt        model.Microseconds // when the instance last ran again after it had not for a while
 	stats            Stats
 }
--- a/internal/pubsub/stats.go
+++ b/internal/pubsub/stats.go
@@ -27,6 +27,8 @@
 	UnreadReplies    uint64 `json:"unread"`       // peers ended because they did not read their replies
 	NamesForgotten   uint64 `json:"forgotten"`    // names of proxies that were forgotten for new ones
 	Silent           uint64 `json:"silent"`       // streams ended because their proxies were silent
+	// IncarnationsRaised counts the JOINs that showed that the incarnation was used before.
+	IncarnationsRaised uint64 `json:"lives_raised"`
 }
 
 // Stats returns the current statistics.
--- a/internal/server/instance.go
+++ b/internal/server/instance.go
@@ -118,16 +118,17 @@
 // listen opens the address for proxies. Proxies can connect from then on.
 func (inst *instance) listen(settings *config.Server) error {
 	serverConfig := pubsub.Config{
-		Listen:           settings.ListenAddress,
-		Incarnation:      inst.recovered.Incarnation,
-		Zones:            settings.Zones,
-		ReportPeriod:     inst.balancerConfig.ReportPeriod,
-		MessageOverhead:  inst.balancerConfig.MessageOverhead,
-		EntriesPerSecond: settings.ChannelRate,
-		Now:              inst.now,
-		JoinLimits:       joinLimits(settings, inst.balancerConfig.Seed),
-		Log:              inst.log,
-		Limits:           peerLimits(settings),
+		Listen:            settings.ListenAddress,
+		Incarnation:       inst.recovered.Incarnation,
+		Zones:             settings.Zones,
+		IncarnationRaised: inst.recorder.writer.SetIncarnation,
+		ReportPeriod:      inst.balancerConfig.ReportPeriod,
+		MessageOverhead:   inst.balancerConfig.MessageOverhead,
+		EntriesPerSecond:  settings.ChannelRate,
+		Now:               inst.now,
+		JoinLimits:        joinLimits(settings, inst.balancerConfig.Seed),
+		Log:               inst.log,
+		Limits:            peerLimits(settings),
 	}
 	if inst.membership != nil {
 		serverConfig.Leases = inst.membership
--- a/internal/server/statistics.go
+++ b/internal/server/statistics.go
@@ -42,6 +42,7 @@
 		Uint64("unread_replies", stats.UnreadReplies).
 		Uint64("forgotten_names", stats.NamesForgotten).
 		Uint64("silent_streams", stats.Silent).
+		Uint64("raised_incarnations", stats.IncarnationsRaised).
 		Int64("longest_step_us", int64(view.LongestStep)).
 		Msg(statisticsMessage)
 }
--- a/internal/statestore/store.go
+++ b/internal/statestore/store.go
@@ -87,13 +87,14 @@
 
 // Change is the data that one write stores atomically.
 type Change struct {
-	Endpoints []model.Endpoint // nil: unchanged
-	Published []byte           // nil: unchanged
-	Decisions []DecisionRecord // appended to the decision log
+	Incarnation uint64           // higher one that this start uses from now on; 0: unchanged
+	Endpoints   []model.Endpoint // nil: unchanged
+	Published   []byte           // nil: unchanged
+	Decisions   []DecisionRecord // appended to the decision log
 }
 
 func (c *Change) isEmpty() bool {
-	return c.Endpoints == nil && c.Published == nil && len(c.Decisions) == 0
+	return c.Incarnation == 0 && c.Endpoints == nil && c.Published == nil && len(c.Decisions) == 0
 }
 
 // Write stores a change durably, completely or not at all. It also deletes the oldest decisions beyond the log's
@@ -117,8 +118,13 @@
 	return nil
 }
 
-// putState stores the endpoint list and the published tables of a change.
+// putState stores the incarnation, the endpoint list and the published tables of a change.
 func putState(bucket *bolt.Bucket, change *Change) error {
+	if change.Incarnation > 0 {
+		if err := bucket.Put(incarnationKey, withChecksum(encodeUint64(change.Incarnation))); err != nil {
+			return err
+		}
+	}
 	if change.Endpoints != nil {
 		body, err := json.Marshal(change.Endpoints)
 		if err != nil {
--- a/internal/statestore/writer.go
+++ b/internal/statestore/writer.go
@@ -56,6 +56,11 @@
 	return w
 }
 
+// SetIncarnation stores a higher incarnation than that of the start, which the next start exceeds.
+func (w *Writer) SetIncarnation(incarnation uint64) {
+	w.enqueue(func(pending *Change) { pending.Incarnation = max(pending.Incarnation, incarnation) })
+}
+
 // SetEndpoints stores a complete endpoint list. The writer takes ownership of the slice.
 func (w *Writer) SetEndpoints(endpoints []model.Endpoint) {
 	if endpoints == nil {
@@ -178,6 +183,7 @@
 func (w *Writer) requeue(failed *Change) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.pending.Incarnation = max(w.pending.Incarnation, failed.Incarnation)
 	if w.pending.Endpoints == nil {
 		w.pending.Endpoints = failed.Endpoints
 	}
--- a/internal/statestore/writer_test.go
+++ b/internal/statestore/writer_test.go
@@ -114,3 +114,20 @@
 	}
 	return store.Close()
 }
+
+// The next start uses a higher incarnation than one that was raised at run time, also if a write fails in between.
+func TestNextStartExceedsRaisedIncarnation(t *testing.T) {
+	dir := t.TempDir()
+	store, _ := openStore(t, dir, 0)
+	writer := NewWriter(store, func(error, uint64) {})
+	writer.SetIncarnation(41)
+	writer.requeue(&Change{Incarnation: 40})
+	writer.SetPublished([]byte("tables"))
+	writer.Close()
+	closeStore(t, store)
+	store, recovered := openStore(t, dir, 0)
+	closeStore(t, store)
+	if recovered.Incarnation != 42 {
+		t.Errorf("incarnation %d at the next start, want 42", recovered.Incarnation)
+	}
+}
