--- a/internal/cluster/apply.go
+++ b/internal/cluster/apply.go
@@ -33,8 +33,12 @@
 
 func (c LeaderElected) apply(state *State, stamp model.Microseconds) []ShardResponse {
 	state.Leader = c.Leader
-	if state.Digest == 0 {
+	if state.Digest == 0 { // begun now, by this leader's settings
 		state.Digest = c.SettingsDigest
+		if c.Shape != nil {
+			state.setShape(c.Shape)
+			state.ShapeAgreed = true
+		}
 	}
 	for i, shard := range state.Shards {
 		if i >= len(c.Observations) {
--- a/internal/cluster/cluster.go
+++ b/internal/cluster/cluster.go
@@ -314,6 +314,9 @@
 func (c *Cluster) snapshot() ([]byte, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.member.mayWriteSnapshot() {
+		return nil, errForeignShape
+	}
 	return c.member.state.Encode()
 }
 
--- a/internal/cluster/commands.go
+++ b/internal/cluster/commands.go
@@ -30,6 +30,7 @@
 type LeaderElected struct {
 	Leader         string
 	SettingsDigest uint64
+	Shape          *Shape                        // of the settings with this digest; nil: of a former version
 	Observations   []ShardObservation            // indexed by shard number
 	RenewalAges    map[string]model.Microseconds // by member name: time since its newest RegisterMember or RenewLeases
 }
--- a/internal/cluster/commands_test.go
+++ b/internal/cluster/commands_test.go
@@ -19,6 +19,7 @@
 		kindLeaderElected: LeaderElected{
 			Leader:         "m1",
 			SettingsDigest: 77,
+			Shape:          &Shape{Zones: []string{"govan"}, ShardsPerZone: 3, LeaseDuration: 4, MaxClockDrift: 5},
 			Observations:   []ShardObservation{{Epoch: 3, Sequence: 40, Age: -1}},
 			RenewalAges:    map[string]model.Microseconds{"m2": 5},
 		},
--- a/internal/cluster/doc.go
+++ b/internal/cluster/doc.go
@@ -12,6 +12,8 @@
 //   - entries stamped by a leader take effect only in the raft term in which that leader announced itself
 //     (LeaderElected), so the clocks of two leaders are never compared;
 //   - a member that does not receive log entries renews no lease, even if its requests reach the leader;
+//   - the state has the shape of the settings by which the first leader began the cluster, at a member with other
+//     settings too: LeaderElected carries it;
 //   - a member that reads an entry of a newer schema version than it supports holds no lease from then on, and reports
 //     the reason.
 //
@@ -26,6 +28,8 @@
 //	cluster.go    a running member: its lifecycle, tick loop and public methods
 //	config.go     configuration of a member
 //	settings.go   the settings that all members must share
+//	shape.go      the part of the settings that gives the replicated state its form
+//	loadreport.go whether the load of a shard has been reported
 //	commands.go   the commands that the members commit
 //	record.go     the stored form of commands
 //	state.go      the replicated state
--- a/internal/cluster/errors.go
+++ b/internal/cluster/errors.go
@@ -14,6 +14,7 @@
 	ErrNoLeader = errors.New("nobody leads the group: a majority of its members is not there, or they are choosing; " +
 		"try again in some seconds")
 
+	errForeignShape     = errors.New("no snapshot: the settings that the group was begun with are not known here")
 	errStarting         = errors.New("this member starts")
 	errLinkCut          = errors.New("the link is cut")
 	errMalformedRequest = errors.New("a request is an array that begins with its name")
--- a/internal/cluster/member.go
+++ b/internal/cluster/member.go
@@ -148,8 +148,11 @@
 }
 
 // isExcluded reports whether this member may hold no lease: it does not support the schema version of the log, or
-// its settings differ from the cluster's, so the same shard number may mean another shard.
-func (m *Member) isExcluded() bool { return m.state.NewerSchemaVersion > 0 || m.HasOtherSettings() }
+// its settings differ from the cluster's, so the same shard number may mean another shard, or its state is not the
+// cluster's.
+func (m *Member) isExcluded() bool {
+	return m.state.NewerSchemaVersion > 0 || m.HasOtherSettings() || m.hasMisshapenState()
+}
 
 // HasOtherSettings reports whether the cluster was started with settings that differ from this member's.
 func (m *Member) HasOtherSettings() bool {
@@ -176,6 +179,7 @@
 	command := LeaderElected{
 		Leader:         m.Name,
 		SettingsDigest: m.Record.Digest,
+		Shape:          m.settings.shape(),
 		RenewalAges:    map[string]model.Microseconds{},
 	}
 	for i, shard := range m.state.Shards {
--- a/internal/cluster/record.go
+++ b/internal/cluster/record.go
@@ -43,6 +43,7 @@
 	RenewalAges      map[string]model.Microseconds `cbor:"Heard,omitempty"`
 	ByOperator       bool                          `cbor:"ByHand"`
 	On               bool                          `cbor:"On"`
+	Shape            *Shape                        `cbor:"Shape,omitempty"`
 }
 
 // Encode returns the stored form of an entry.
@@ -76,7 +77,9 @@
 func (r commandRecord) command() Command {
 	switch r.Kind {
 	case kindLeaderElected:
-		command := LeaderElected{Leader: r.Member, Observations: r.Observations, RenewalAges: r.RenewalAges}
+		command := LeaderElected{
+			Leader: r.Member, Observations: r.Observations, RenewalAges: r.RenewalAges, Shape: r.Shape,
+		}
 		if r.Record != nil {
 			command.SettingsDigest = r.Record.Digest
 		}
@@ -114,6 +117,7 @@
 	record.Record = &MemberRecord{Digest: c.SettingsDigest}
 	record.Observations = c.Observations
 	record.RenewalAges = c.RenewalAges
+	record.Shape = c.Shape
 }
 
 func (c RegisterMember) store(record *commandRecord) {
--- a/internal/cluster/state.go
+++ b/internal/cluster/state.go
@@ -65,23 +65,21 @@
 	// NewerSchemaVersion is the schema version of an entry that this program does not support; no later entry is applied.
 	NewerSchemaVersion uint8 `cbor:"Newer"`
 
+	// ShapeAgreed: the log has given the state its shape, not the settings of the member that wrote it.
+	ShapeAgreed bool `cbor:"Agreed,omitempty"`
+
 	supportedVersion uint8 // the newest schema version that this program supports
 }
 
-// NewState returns the state of a cluster that has committed no entry.
+// NewState returns the state of a cluster that has committed no entry. It has the shape of the given settings until the
+// first leader's are known.
 func NewState(settings Settings) *State {
 	state := &State{
 		SchemaVersion:    schemaVersion,
-		LeaseDuration:    settings.Lease.Duration,
-		MaxClockDrift:    settings.Lease.MaxClockDrift,
 		WaitReasons:      map[int]string{},
 		supportedVersion: schemaVersion,
 	}
-	for _, zone := range settings.Zones {
-		for range settings.ShardsPerZone {
-			state.Shards = append(state.Shards, &ShardState{Number: len(state.Shards), Zone: zone})
-		}
-	}
+	state.setShape(settings.shape())
 	return state
 }
 
--- a/internal/cluster/state_test.go
+++ b/internal/cluster/state_test.go
@@ -154,8 +154,8 @@
 	for _, stored := range []any{commandRecord{}, State{}, Handover{}} {
 		walk(reflect.TypeOf(stored))
 	}
-	if len(seen) != 15 {
-		t.Errorf("%d stored structs, want 15: %v", len(seen), seen)
+	if len(seen) != 16 {
+		t.Errorf("%d stored structs, want 16: %v", len(seen), seen)
 	}
 }
 
