--- a/internal/pubsub/join.go
+++ b/internal/pubsub/join.go
@@ -59,14 +59,15 @@
 		s.redirect(conn)
 		return false, nil
 	}
-	if !s.admitJoin(conn) || !s.admitIncarnation(conn) {
+	older := s.streamOf(join.Name)
+	if !s.admitJoin(conn, older) || !s.admitIncarnation(conn) {
 		return false, nil
 	}
 	proxy, err := s.proxyID(join.Name)
 	if err != nil {
 		return false, err
 	}
-	if older := s.streams[proxy]; older != nil {
+	if older != nil {
 		s.removeStream(older)
 		s.stats.Replaced++
 		s.endWithError(older, "ERR replaced by a newer connection of the same name")
@@ -94,10 +95,23 @@
 	return epoch, isHolder && epoch >= join.Epoch
 }
 
-// admitJoin reports whether a proxy may join now; s.mu is held. Otherwise it sends the proxy a retry delay and ends its
-// connection, so that the connection does not count towards the limit.
-func (s *Server) admitJoin(conn *connection) bool {
-	decision, retryAfter := s.joins.Decide(s.config.Now(), conn.stream.join.Name, len(s.streams))
+// streamOf returns the joined connection of a proxy; nil for none. s.mu is held.
+func (s *Server) streamOf(name string) *connection {
+	if known := s.names.byName[name]; known != nil {
+		return s.streams[known.number]
+	}
+	return nil
+}
+
+// admitJoin reports whether a proxy may join now; s.mu is held. An older stream of the same name, which the connection
+// replaces, does not count towards the limit; nil if there is none. If the proxy may not join, it is sent a retry delay
+// and its connection ends, so that the connection does not count towards the limit either.
+func (s *Server) admitJoin(conn, older *connection) bool {
+	joined := len(s.streams)
+	if older != nil {
+		joined--
+	}
+	decision, retryAfter := s.joins.Decide(s.config.Now(), conn.stream.join.Name, joined)
 	if decision == admission.Admit {
 		return true
 	}
--- a/internal/pubsub/limits_test.go
+++ b/internal/pubsub/limits_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"peppervale/internal/admission"
+	"peppervale/internal/codec/pubsubmsg"
 	"peppervale/internal/codec/resp"
 )
 
@@ -95,3 +96,24 @@
 		return
 	}
 }
+
+// Guards against a proxy that is put off for good by its own older stream (dead-stream of the second review): its
+// machine vanished, so that the older stream is still open, and no more proxies than are joined are taken.
+func TestNewerConnectionReplacesOlderOneAtMostProxies(t *testing.T) {
+	const mostProxies = 2
+	harness := startServer(t, func(config *Config) {
+		config.JoinLimits = admission.Limits{MaxProxies: mostProxies}
+	})
+	older, _ := harness.join(t, "vanished")
+	harness.join(t, "sound")
+	harness.join(t, "vanished")
+	older.expectError("replaced by a newer connection of the same name")
+	another := harness.dial(t)
+	another.Send(pubsubmsg.AppendJoin(helloCommand(), pubsubmsg.Join{Name: "another", Zone: "kelvin", ExpectedRate: 2}))
+	another.Next()
+	another.expectError("LATER")
+	if stats := harness.server.Stats(); stats.Replaced != 1 || stats.Proxies != mostProxies {
+		t.Errorf("%d streams were replaced and %d proxies are joined, want 1 and %d",
+			stats.Replaced, stats.Proxies, mostProxies)
+	}
+}
