Begin a slow start when a replica is first listed if its start time lies ahead of the clock

What callers would see: a weight below 0 until that time (-89.75 with an hour); a proxy resets such a stream. Cause: the slow start was reckoned from the start time as listed. Change: from when the replica is first listed with it, if it lies ahead; the warm-up period too. Test: TestStartTimeAheadOfTheClockCountsAsNow fails without the change.

--- a/internal/balancer/replica.go
+++ b/internal/balancer/replica.go
@@ -60,6 +60,7 @@
 	entries []*entry // its entries, at most one in each table
 
 	startedAt   model.Microseconds // start time in the endpoint list; 0: not given
+	warmUpFrom  model.Microseconds // startedAt, or when it was first listed with a start time that lay ahead
 	slowStartAt model.Microseconds // when its slow start began
 	restarted   bool               // it had load statistics when its slow start began
 	generation  int                // raised to cancel pending deadlines, which hold an earlier generation
@@ -109,8 +110,9 @@
 func (b *Balancer) updateEndpoint(r *replica, endpoint model.Endpoint) {
 	r.zone = endpoint.Zone % b.config.Zones
 	event := b.endpointEvent(r, endpoint)
-	if endpoint.Status == model.EndpointReady {
+	if endpoint.Status == model.EndpointReady && endpoint.StartedAt != r.startedAt {
 		r.startedAt = endpoint.StartedAt
+		r.warmUpFrom = min(r.startedAt, b.now) // its machine's clock may be ahead
 	}
 	b.applyReplicaEvent(r, event, "")
 }
--- a/internal/balancer/slowstart.go
+++ b/internal/balancer/slowstart.go
@@ -17,8 +17,8 @@
 	r.generation++
 	r.restarted = r.load.recent.window > 0
 	r.slowStartAt = b.now
-	if r.ejections == 0 && b.now-r.startedAt < slowStartSpan {
-		r.slowStartAt = r.startedAt
+	if r.ejections == 0 && b.now-r.warmUpFrom < slowStartSpan {
+		r.slowStartAt = r.warmUpFrom
 	}
 	r.load.reset(b.now)
 	for _, e := range r.entries {
@@ -44,7 +44,7 @@
 
 // isWarmingUp reports whether a replica is in its slow start and started within the warm-up period.
 func (b *Balancer) isWarmingUp(r *replica) bool {
-	return r.state == warming && b.now-r.startedAt < b.config.WarmUpPeriod
+	return r.state == warming && b.now-r.warmUpFrom < b.config.WarmUpPeriod
 }
 
 // isNewAndWarmingUp reports whether a replica started within the warm-up period and had no load statistics before.
@@ -52,5 +52,5 @@
 
 // remainingWarmUp is 1 for a replica that has just started, and falls linearly to 0 at the end of its warm-up period.
 func (b *Balancer) remainingWarmUp(r *replica) float64 {
-	return 1 - min(1, float64(b.now-r.startedAt)/float64(max(b.config.WarmUpPeriod, 1)))
+	return 1 - min(1, float64(b.now-r.warmUpFrom)/float64(max(b.config.WarmUpPeriod, 1)))
 }
--- a/internal/balancer/slowstart_test.go
+++ b/internal/balancer/slowstart_test.go
@@ -33,6 +33,22 @@
 	})
 }
 
+// Guards against a weight below 0 while a start time lies ahead of the instance's clock: the slow start and the warm-up
+// period begin when the replica is first listed with it.
+func TestStartTimeAheadOfTheClockCountsAsNow(t *testing.T) {
+	fleet := startWarmFleet(t, 8, nil)
+	fleet.listAsStarted(-3600*model.Second, 1)
+	fleet.flush()
+	first := fleet.weight(1)
+	require(t, math.Abs(first-0.25) <= 0.01, "weight %v after the start, want 0.25", first)
+	started := fleet.balancer.replicasByID[replicaID(1)]
+	require(t, fleet.balancer.isWarmingUp(started) && fleet.balancer.remainingWarmUp(started) == 1,
+		"remaining warm-up %v after the start, want 1", fleet.balancer.remainingWarmUp(started))
+	fleet.advance(35, fleet.goodReports(8))
+	require(t, fleet.weight(1) >= 0.8, "weight %v after 35 s, want at least 0.8", fleet.weight(1))
+	require(t, !fleet.balancer.isWarmingUp(started), "the replica warms up after 35 s")
+}
+
 func TestWarmingUpReplicaIsWithdrawnInAnOverloadIfProxiesAvoidFailing(t *testing.T) {
 	for name, avoids := range map[string]bool{
 		"withdrawn if proxies avoid failing replicas": true,
