Let the stop of a member's former incarnation have no effect on the next one

What callers would see: a member is restarted, and its zone's shards stay elsewhere until its next start. Cause: DrainMember names the member without its incarnation; agreed on late, it marks the next one as stopping. Change: the leader adds the registered incarnation, and the command has no effect on another one. Commands of a former version, without it, have the effect that they had; the stored field is the one that others use.

--- a/internal/cluster/apply.go
+++ b/internal/cluster/apply.go
@@ -168,7 +168,7 @@
 	case member == nil:
 	case c.ByOperator:
 		member.Draining = c.Drain
-	default:
+	case c.Incarnation == 0 || c.Incarnation == member.Incarnation: // else it stopped, and is back as another one
 		member.Stopping = c.Drain
 	}
 	return nil
--- a/internal/cluster/commands.go
+++ b/internal/cluster/commands.go
@@ -70,9 +70,10 @@
 // DrainMember starts or ends a drain: a drained member's shards are moved to other members. It is sent by an operator,
 // or by a member whose process is about to stop.
 type DrainMember struct {
-	Member     string
-	Drain      bool
-	ByOperator bool
+	Member      string
+	Incarnation uint64 // that is about to stop; 0: of a former version, whichever is registered
+	Drain       bool
+	ByOperator  bool
 }
 
 // RemoveMember is an operator's removal of a member that will not return.
--- a/internal/cluster/commands_test.go
+++ b/internal/cluster/commands_test.go
@@ -34,7 +34,7 @@
 			Migrations: []placement.Migration{{Shard: 1, From: "m0", To: "m2", Reason: "moved by hand"}},
 			ByOperator: true,
 		},
-		kindDrainMember:  DrainMember{Member: "m1", Drain: true, ByOperator: true},
+		kindDrainMember:  DrainMember{Member: "m1", Incarnation: 2, Drain: true, ByOperator: true},
 		kindRemoveMember: RemoveMember{Member: "m1"},
 		99:               unknownCommand{storedKind: 99},
 	}
--- a/internal/cluster/member_test.go
+++ b/internal/cluster/member_test.go
@@ -186,6 +186,29 @@
 	sim.wantHeld(2, 2, 2)
 }
 
+// Guards against a member without shards after its restart: the request of its former incarnation to take its shards, as
+// it was about to stop, is agreed on only when the next incarnation is registered. It concerns the former one alone.
+func TestLateStopOfFormerIncarnationHasNoEffect(t *testing.T) {
+	for name, incarnation := range map[string]uint64{"of this version": 1, "of a former version": 0} {
+		t.Run(name, func(t *testing.T) {
+			sim := newSimulation(t, 3)
+			sim.runFor(5 * model.Second)
+			sim.wantHeld(2, 2, 2)
+			sim.start(1)
+			sim.runFor(model.Second)
+			sim.commit(DrainMember{Member: "m1", Incarnation: incarnation, Drain: true}, sim.now)
+			sim.runFor(20 * model.Second)
+			stopping := sim.members[0].state.Member("m1").Stopping
+			if isFormerVersion := incarnation == 0; stopping != isFormerVersion {
+				t.Errorf("m1 counts as stopping: %t, want %t", stopping, isFormerVersion)
+			}
+			if incarnation > 0 {
+				sim.wantHeld(2, 2, 2)
+			}
+		})
+	}
+}
+
 // A process is suspended for longer than a lease: its clock advances meanwhile, so it finds its leases expired before
 // it acts.
 func TestLeasesAreExpiredWhenProcessWasSuspended(t *testing.T) {
--- a/internal/cluster/record.go
+++ b/internal/cluster/record.go
@@ -96,7 +96,7 @@
 	case kindSetPlacement:
 		return SetPlacement{Leader: r.Member, Migrations: r.Migrations, ByOperator: r.ByOperator}
 	case kindDrainMember:
-		return DrainMember{Member: r.Member, Drain: r.On, ByOperator: r.ByOperator}
+		return DrainMember{Member: r.Member, Incarnation: r.Incarnation, Drain: r.On, ByOperator: r.ByOperator}
 	case kindRemoveMember:
 		return RemoveMember{Member: r.Member}
 	}
@@ -149,6 +149,7 @@
 
 func (c DrainMember) store(record *commandRecord) {
 	record.Member = c.Member
+	record.Incarnation = c.Incarnation
 	record.On = c.Drain
 	record.ByOperator = c.ByOperator
 }
--- a/internal/cluster/requests.go
+++ b/internal/cluster/requests.go
@@ -134,8 +134,10 @@
 		return err
 	}
 	switch mode {
-	case leaveOn, leaveOff, leaveStopping:
-		return c.propose(DrainMember{Member: name, Drain: mode != leaveOff, ByOperator: mode != leaveStopping})
+	case leaveOn, leaveOff:
+		return c.propose(DrainMember{Member: name, Drain: mode == leaveOn, ByOperator: true})
+	case leaveStopping:
+		return c.propose(DrainMember{Member: name, Incarnation: c.registeredIncarnation(name), Drain: true})
 	}
 	return invalidRequest("LEAVE: on or off, not %.40q", mode)
 }
@@ -165,6 +167,16 @@
 	return c.node.addVoter(name, address)
 }
 
+// registeredIncarnation returns the newest incarnation of a member; 0 if it is not registered.
+func (c *Cluster) registeredIncarnation(name string) uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if member := c.member.state.Member(name); member != nil {
+		return member.Incarnation
+	}
+	return 0
+}
+
 // checkMemberIsKnown fails with an UnknownMemberError for a name that is not registered.
 func (c *Cluster) checkMemberIsKnown(name string) error {
 	c.mu.Lock()
