Refuse to add or register a member that was removed for good

What callers would see: a member that was removed while it hung runs again, adds itself, votes and gets shards. Cause: the leader added any name that asked, and a registration ends the removal. Change: the leader refuses both for a removed name. The effect of committed commands is as before, as members of different versions must agree on it. Test: TestRemovedMemberCannotAddItselfAgain; without the change both succeed, and the member votes again.

--- a/internal/cluster/member_test.go
+++ b/internal/cluster/member_test.go
@@ -186,8 +186,8 @@
 	sim.wantHeld(2, 2, 2)
 }
 
-// Guards against a member without shards after its restart: the request of its former incarnation to take its shards, as
-// it was about to stop, is agreed on only when the next incarnation is registered. It concerns the former one alone.
+// Guards against a member without shards after its restart: the request of its former incarnation to take its shards,
+// as it was about to stop, is agreed on only when the next incarnation is registered. It concerns the former one alone.
 func TestLateStopOfFormerIncarnationHasNoEffect(t *testing.T) {
 	for name, incarnation := range map[string]uint64{"of this version": 1, "of a former version": 0} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/cluster/requests.go
+++ b/internal/cluster/requests.go
@@ -103,8 +103,13 @@
 	if err != nil {
 		return err
 	}
-	switch entry.Command.(type) {
-	case RegisterMember, RenewLeases, ReleaseLeases:
+	switch command := entry.Command.(type) {
+	case RegisterMember:
+		if err := c.checkMemberIsNotRemoved(command.Member); err != nil {
+			return err
+		}
+		return c.node.propose(entry)
+	case RenewLeases, ReleaseLeases:
 		return c.node.propose(entry)
 	}
 	return invalidRequest("a command of kind %d cannot be proposed by another member", entry.Command.kind())
@@ -161,6 +166,9 @@
 	if _, _, err := net.SplitHostPort(address); err != nil {
 		return invalidRequest("ADD: %v", err)
 	}
+	if err := c.checkMemberIsNotRemoved(name); err != nil {
+		return err
+	}
 	if known, votes := c.node.voters()[name]; votes && known == address {
 		return nil
 	}
@@ -177,6 +185,17 @@
 	return 0
 }
 
+// checkMemberIsNotRemoved fails for a member that an operator has removed: it was removed for good, and its process, if
+// it only hung, would add itself again.
+func (c *Cluster) checkMemberIsNotRemoved(name string) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if member := c.member.state.Member(name); member != nil && member.Removed {
+		return invalidRequest("%.60s was struck off for good; start it under another name", name)
+	}
+	return nil
+}
+
 // checkMemberIsKnown fails with an UnknownMemberError for a name that is not registered.
 func (c *Cluster) checkMemberIsKnown(name string) error {
 	c.mu.Lock()
--- a/internal/cluster/requests_test.go
+++ b/internal/cluster/requests_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"strings"
 	"testing"
 )
 
@@ -46,6 +47,41 @@
 	})
 }
 
+// Guards against a member that was removed while it hung and adds itself again: it asks to be added as it knows no
+// leader, and registers.
+func TestRemovedMemberCannotAddItselfAgain(t *testing.T) {
+	cluster := newTestCluster(t, 3)
+	cluster.awaitHeld(2, 2, 2)
+	leader, known := cluster.leaderOf(0)
+	if !known {
+		t.Fatal("m0 knows no leader")
+	}
+	removed := (leader + 1) % 3
+	name := cluster.configs[removed].Name
+	cluster.isolate(true, name)
+	cluster.mustRequest(leader, "STRIKE", name)
+	registration := LogEntry{SchemaVersion: schemaVersion, Command: RegisterMember{
+		Member: name, Incarnation: cluster.configs[removed].Incarnation, Record: &MemberRecord{},
+	}}
+	encoded, err := registration.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, words := range [][]string{
+		{"ADD", name, cluster.configs[removed].ListenAddress}, {"PROPOSE", string(encoded)},
+	} {
+		if err := cluster.request(leader, words...); err == nil || !strings.Contains(err.Error(), "struck off for good") {
+			t.Errorf("%s of the removed member: error %v, want one with \"struck off for good\"", words[0], err)
+		}
+	}
+	status := cluster.members[leader].Status()
+	for _, member := range status.Members {
+		if member.Name == name && (!member.Removed || member.Voter) {
+			t.Errorf("the removed member is %+v", member)
+		}
+	}
+}
+
 // A malformed request ends its connection; the port still answers requests on other connections.
 func TestPortAnswersWhenOtherConnectionsAreMalformed(t *testing.T) {
 	cluster := newTestCluster(t, 1)
