Skip the passes over unacknowledged messages while there are none

Change: none of the passes is made while nothing is unacknowledged, and no probe is looked for while a message is being written.

--- a/internal/balancer/channelprogress.go
+++ b/internal/balancer/channelprogress.go
@@ -21,7 +21,7 @@
 // acknowledged them: what a silent proxy owes does not hold up the updates of other proxies. The messages stay
 // unacknowledged, the newest ones of each proxy.
 func (w *sendWindow) releaseOvertaken(proxies []*proxy) {
-	if !w.partial {
+	if !w.partial || w.unackedEntries == 0 {
 		return
 	}
 	for _, p := range proxies {
@@ -68,11 +68,11 @@
 // isHeldUp reports whether messages have been in the channel for answerTimeout, and no later message is about to be
 // sent or may still be acknowledged in time.
 func (w *sendWindow) isHeldUp(now model.Microseconds, proxies []*proxy) bool {
+	if w.unackedEntries == 0 || len(w.recipients) > 0 {
+		return false
+	}
 	someAge := false
 	for _, p := range proxies {
-		if p.reserved > 0 {
-			return false
-		}
 		for _, message := range p.inChannel() {
 			if now-message.at < answerTimeout && !p.isBehind() {
 				return false
--- a/internal/balancer/sendwindow.go
+++ b/internal/balancer/sendwindow.go
@@ -78,6 +78,9 @@
 // behind weights.
 func (w *sendWindow) countAgedEntries(now model.Microseconds, proxies []*proxy) {
 	w.agedEntries = 0
+	if w.unackedEntries == 0 {
+		return
+	}
 	for _, p := range proxies {
 		for _, message := range p.unacked {
 			excessAge := int(max(0, now-message.at-answerTimeout))
