--- a/internal/platform/publish_test.go
+++ b/internal/platform/publish_test.go
@@ -9,30 +9,36 @@
 )
 
 // TestReplicasThatOtherControllersWithdrewAreReadmitted: A proxy that joins with withdrawals of other controllers does
-// not use an entry whose replica one of them has withdrawn. The replicas of its entries are therefore readmitted.
+// not use an entry whose replica one of them has withdrawn. The replicas of its entries are therefore readmitted. A
+// proxy that holds nothing but its standing table (new 1) may have got such withdrawals too (shut-out-new of the
+// review).
 func TestReplicasThatOtherControllersWithdrewAreReadmitted(t *testing.T) {
-	harness := startServer(t, nil)
-	client := harness.dial(t).send("joined id 7 site govan rps 1 new 0")
-	harness.waitForEvent("connected 7 zone 0 rate 1 standing false")
-	bind := bindProxy(7)
-	bind.Readmitted = []model.ReplicaID{harness.replica(1), harness.replica(2)}
-	var updates []snapshot.Update
-	for _, replica := range []int{1, 2, 4, 5, 6, 7} {
-		updates = append(updates, harness.setWeight(replica, 1))
+	for _, join := range []string{"joined id 7 site govan rps 1 new 0", "joined id 7 site govan rps 1 new 1"} {
+		t.Run(join, func(t *testing.T) {
+			harness := startServer(t, nil)
+			client := harness.dial(t).send(join)
+			harness.waitForAdmission(7, func(*stream) bool { return true })
+			bind := bindProxy(7)
+			bind.Readmitted = []model.ReplicaID{harness.replica(1), harness.replica(2)}
+			var updates []snapshot.Update
+			for _, replica := range []int{1, 2, 4, 5, 6, 7} {
+				updates = append(updates, harness.setWeight(replica, 1))
+			}
+			harness.publish(-1, append(updates, harness.setWithdrawn(2, true), bind)...)
+			client.expectMessage("update whole 1 lines s-1:1,s-2:1,s-4:1,s-5:1,s-6:1,s-7:1 out s-2 back s-1")
+			// The remaining replicas are readmitted two at a time, in the message's unused capacity for quotas; a new
+			// entry readmits its own replica in addition.
+			harness.publish(-1, harness.setWeight(1, 2), harness.setWeight(3, 1))
+			client.expectMessage("update lines s-1:2,s-3:1 back s-3,s-4,s-5")
+			harness.publish(-1, harness.setWeight(1, 1), setQuota(0.9))
+			client.expectMessage("update lines s-1:1 back s-6 more 1")
+			client.expectMessage("update classes read level 0.9 retry 1")
+			harness.publish(-1, harness.setWeight(1, 2))
+			client.expectMessage("update lines s-1:2 back s-7")
+			harness.publish(-1, harness.setWeight(1, 1))
+			client.expectMessage("update lines s-1:1")
+		})
 	}
-	harness.publish(-1, append(updates, harness.setWithdrawn(2, true), bind)...)
-	client.expectMessage("update whole 1 lines s-1:1,s-2:1,s-4:1,s-5:1,s-6:1,s-7:1 out s-2 back s-1")
-	// The remaining replicas are readmitted two at a time, in the message's unused capacity for quotas; a new entry
-	// readmits its own replica in addition.
-	harness.publish(-1, harness.setWeight(1, 2), harness.setWeight(3, 1))
-	client.expectMessage("update lines s-1:2,s-3:1 back s-3,s-4,s-5")
-	harness.publish(-1, harness.setWeight(1, 1), setQuota(0.9))
-	client.expectMessage("update lines s-1:1 back s-6 more 1")
-	client.expectMessage("update classes read level 0.9 retry 1")
-	harness.publish(-1, harness.setWeight(1, 2))
-	client.expectMessage("update lines s-1:2 back s-7")
-	harness.publish(-1, harness.setWeight(1, 1))
-	client.expectMessage("update lines s-1:1")
 }
 
 // TestBindCarriesReadmissionsOfSameStep: Guards against a proxy that shuts out what its table names, because its bind
--- a/internal/platform/readmission.go
+++ b/internal/platform/readmission.go
@@ -5,16 +5,17 @@
 	"peppervale/internal/snapshot"
 )
 
-// readmissions tracks the replicas that have to be readmitted for a proxy that joined with withdrawals of other
-// controllers. Such a proxy keeps each withdrawal that any controller sent it on earlier streams, even when it receives
-// full tables (see docs/platform.md). An entry is certain to take effect only once its replica is readmitted.
+// readmissions tracks the replicas that have to be readmitted for a proxy. A proxy keeps each withdrawal that any
+// controller sent it on earlier streams, even when it receives full tables (see docs/platform.md), and also while it is
+// on its standing table: controllers withdraw replicas from proxies that they have not bound. An entry is certain to
+// take effect only once its replica is readmitted.
 //
 // A bind readmits at once the replicas that may be withdrawn according to the controller, and a new entry readmits its
 // own replica: the cost of both includes the readmission. The remaining replicas of a bind are readmitted later, in
 // messages with spare capacity.
 type readmissions struct {
-	// settled holds the replicas that were withdrawn or readmitted on this stream, or are deferred. It is nil for a
-	// proxy that joined on the standing table: no replica is readmitted for it.
+	// settled holds the replicas that were withdrawn or readmitted on this stream, or are deferred. It is nil until the
+	// proxy is admitted.
 	settled map[model.ReplicaID]bool
 	// deferred lists the replicas of a bind that are readmitted later, in that order.
 	deferred []model.ReplicaID
--- a/internal/platform/stream.go
+++ b/internal/platform/stream.go
@@ -12,13 +12,12 @@
 
 // stream is one connection of one proxy that has joined.
 type stream struct {
-	conn            *connection
-	proxy           model.ProxyID
-	id              uint64
-	onStandingTable bool                 // it joined without withdrawals of other controllers
-	subscriber      *snapshot.Subscriber // nil until admitted
-	readmissions    readmissions
-	acks            ackQueue
+	conn         *connection
+	proxy        model.ProxyID
+	id           uint64
+	subscriber   *snapshot.Subscriber // nil until admitted
+	readmissions readmissions
+	acks         ackQueue
 }
 
 // join registers a proxy's stream and ends an older stream of the same proxy.
@@ -44,7 +43,7 @@
 	}
 	s.markJoined(conn)
 	s.lastStreamID++
-	conn.stream = &stream{conn: conn, proxy: proxy, id: s.lastStreamID, onStandingTable: message.OnStandingTable}
+	conn.stream = &stream{conn: conn, proxy: proxy, id: s.lastStreamID}
 	s.streams[proxy] = conn.stream
 	s.events.ProxyConnected(proxy, conn.stream.id, pubsubmsg.Join{
 		Name:            strconv.Itoa(message.Proxy),
@@ -66,10 +65,13 @@
 	if stream == nil || stream.id != streamID {
 		return
 	}
-	stream.subscriber = s.publishedState.Subscribe(proxy, strconv.Itoa(int(proxy)))
-	if !stream.onStandingTable {
-		stream.readmissions.settled = map[model.ReplicaID]bool{}
-	}
+	s.admit(stream)
+}
+
+// admit subscribes a stream to the updates published from now on; s.mu is held.
+func (s *Server) admit(stream *stream) {
+	stream.subscriber = s.publishedState.Subscribe(stream.proxy, strconv.Itoa(int(stream.proxy)))
+	stream.readmissions.settled = map[model.ReplicaID]bool{}
 }
 
 // removeStream removes a stream and reports its end; s.mu is held.
