--- a/internal/balancer/drain.go
+++ b/internal/balancer/drain.go
@@ -39,7 +39,7 @@
 	if b.load.saturation > overloadSaturation {
 		return true
 	}
-	level := surgeRiskLevel - warmUpAllowance*b.remainingWarmUp(r)
+	level := surgeRiskLevel - float64(warmUpAllowance*b.remainingWarmUp(r))
 	return slices.ContainsFunc(r.entries, func(e *entry) bool {
 		return e.table.failureRisk > level || len(e.table.users) == 1
 	})
--- a/internal/balancer/golden_events_test.go
+++ b/internal/balancer/golden_events_test.go
@@ -137,9 +137,9 @@
 	objective := float64(tr.plan.config.Operations[0].LatencyObjective)
 	attempts := 1 + tr.random.IntN(2*tr.plan.attempts)
 	report := model.LoadReport{Zone: zone, Replica: r.id, Attempts: attempts, Window: model.Second}
-	report.MeanLatency = model.Microseconds(objective * load * r.slowness * (0.8 + 0.4*tr.random.Float64()))
+	report.MeanLatency = model.Microseconds(objective * load * r.slowness * (0.8 + float64(0.4*tr.random.Float64())))
 	report.Errors = min(attempts, int(float64(attempts)*load*load*0.3*tr.random.Float64()))
-	report.Readings = []float64{tr.random.Float64(), min(1.2, load*(0.8+0.4*tr.random.Float64()))}
+	report.Readings = []float64{tr.random.Float64(), min(1.2, load*(0.8+float64(0.4*tr.random.Float64())))}
 	if r.isFailing {
 		report.Errors = attempts
 		report.MeanLatency = 0
--- a/internal/balancer/golden_test.go
+++ b/internal/balancer/golden_test.go
@@ -18,9 +18,9 @@
 
 // The golden traces check the published updates bit for bit. Seeded event sequences are passed to the public methods
 // of the balancer; after every step the published updates are hashed and compared with testdata/trace-*.txt. The
-// traces use only the updates and the View of the balancer. Floats are hashed by their bits. The files were
-// written on amd64; an architecture whose compiler fuses multiplications and additions may round differently. The
-// words for events and kinds of update are part of the hashed text, so they must not change.
+// traces use only the updates and the View of the balancer. Floats are hashed by their bits, which are the same on
+// every kind of machine (see power.go); the files were written on arm64. The words for events and kinds of update are
+// part of the hashed text, so they must not change.
 
 var updateTraces = flag.Bool("update", false, "rewrite testdata/trace-*.txt from the current behaviour")
 
@@ -246,7 +246,7 @@
 		tr.replicas = append(tr.replicas, &tracedReplica{
 			zone: n % tr.plan.config.Zones, status: model.EndpointReady,
 			id:       model.ReplicaID{Addr: [4]byte{10, 0, byte(n / 200), byte(n % 200)}, Port: uint16(5000 + n%3)},
-			slowness: 0.7 + 0.6*tr.random.Float64(),
+			slowness: 0.7 + float64(0.6*tr.random.Float64()),
 		})
 	}
 	for n := range tr.plan.proxies {
--- a/internal/balancer/loadshed.go
+++ b/internal/balancer/loadshed.go
@@ -99,7 +99,7 @@
 	for _, operation := range slices.Backward(s.lowestValueFirst) {
 		quota := &s.quotas[operation]
 		if *quota < 1 {
-			*quota = min(1, *quota*min(maxRiseFactor, normalSaturation/saturation)+riseAddend)
+			*quota = min(1, float64(*quota*min(maxRiseFactor, normalSaturation/saturation))+riseAddend)
 			s.nextChangeAt = now + riseCooldown
 			return
 		}
--- a/internal/balancer/loadstats.go
+++ b/internal/balancer/loadstats.go
@@ -1,7 +1,6 @@
 package balancer
 
 import (
-	"math"
 	"slices"
 
 	"peppervale/internal/model"
@@ -45,11 +44,11 @@
 
 // decayAndAdd multiplies the figures by factor, a fraction, and then adds other figures.
 func (s *attemptStats) decayAndAdd(added attemptStats, factor float64) {
-	s.attempts = s.attempts*factor + added.attempts
-	s.goodAttempts = s.goodAttempts*factor + added.goodAttempts
-	s.erroredAttempts = s.erroredAttempts*factor + added.erroredAttempts
-	s.totalLatency = s.totalLatency*factor + added.totalLatency
-	s.window = s.window*factor + added.window
+	s.attempts = float64(s.attempts*factor) + added.attempts
+	s.goodAttempts = float64(s.goodAttempts*factor) + added.goodAttempts
+	s.erroredAttempts = float64(s.erroredAttempts*factor) + added.erroredAttempts
+	s.totalLatency = float64(s.totalLatency*factor) + added.totalLatency
+	s.window = float64(s.window*factor) + added.window
 }
 
 func (s *attemptStats) meanLatency() float64 { return s.totalLatency / s.goodAttempts }
@@ -99,7 +98,7 @@
 		attempts:        float64(report.Attempts),
 		goodAttempts:    good,
 		erroredAttempts: float64(report.Errors),
-		totalLatency:    good * float64(report.MeanLatency),
+		totalLatency:    float64(good * float64(report.MeanLatency)),
 	})
 }
 
@@ -115,8 +114,8 @@
 	}
 	l.pending.window = float64(now - l.reportedAt)
 	periods := max(l.pending.window/float64(reportPeriod), 1)
-	l.recent.decayAndAdd(l.pending, math.Pow(recentDecay, periods))
-	l.shortTerm.decayAndAdd(l.pending, math.Pow(shortTermDecay, periods))
+	l.recent.decayAndAdd(l.pending, power(recentDecay, periods))
+	l.shortTerm.decayAndAdd(l.pending, power(shortTermDecay, periods))
 	l.pending = attemptStats{}
 	l.reportedAt = now
 }
@@ -203,7 +202,7 @@
 			latencies = append(latencies, r.load.normalizedLatency)
 		}
 		if b.now-r.load.utilizationAt < utilizationLifetime {
-			work += r.load.utilization * b.slowStartFactor(r)
+			work += float64(r.load.utilization * b.slowStartFactor(r))
 			utilizations = append(utilizations, r.load.utilization)
 		}
 		if !b.mustWithdraw(r) {
--- a/internal/balancer/weights.go
+++ b/internal/balancer/weights.go
@@ -102,7 +102,7 @@
 	// The preference is full up to half of sheddingSaturation, and falls to zero at sheddingSaturation.
 	strength := min(max(2-2*b.load.saturation/sheddingSaturation, 0), 1)
 	return zonePreference{
-		crossZoneFactor:      1 / (1 + crossZonePenalty*b.config.CrossZoneCost),
+		crossZoneFactor:      1 / (1 + float64(crossZonePenalty*b.config.CrossZoneCost)),
 		strength:             strength,
 		fleetFullWeightShare: float64(atFullWeight) / float64(max(b.countReplicas((*replica).listedReady), 1)),
 	}
@@ -112,8 +112,8 @@
 // replicas of the zone, and the statistics of the replicas of the zone and of the other replicas.
 func (z *zonePreference) factorFor(zoneSlowStartFactor float64, sameZone, crossZone *attemptStats) float64 {
 	fullWeightShare := max(0,
-		belowFullWeightDivisor*min(z.fleetFullWeightShare, zoneSlowStartFactor)-(belowFullWeightDivisor-1))
-	factor := math.Pow(z.crossZoneFactor, z.strength*fullWeightShare)
+		float64(belowFullWeightDivisor*min(z.fleetFullWeightShare, zoneSlowStartFactor))-(belowFullWeightDivisor-1))
+	factor := power(z.crossZoneFactor, z.strength*fullWeightShare)
 	if sameZone.goodAttempts >= 1 && crossZone.goodAttempts >= 1 {
 		factor *= sameZone.meanLatency() / max(crossZone.meanLatency(), 1)
 	}
@@ -165,7 +165,7 @@
 	} else if r.expectedRate > 0 && b.load.recentRate > 0 && recent.window > 0 {
 		estimate *= math.Sqrt(recent.goodAttempts / recent.window / b.load.recentRate * expectedRate / r.expectedRate)
 	}
-	return (estimate*recent.attempts + priorAttempts) / (recent.attempts + priorAttempts)
+	return (float64(estimate*recent.attempts) + priorAttempts) / (recent.attempts + priorAttempts)
 }
 
 // updateWeights changes the weights once in a report period. If a table does not fit the send window, the next update
