--- a/internal/balancer/doc.go
+++ b/internal/balancer/doc.go
@@ -23,8 +23,11 @@
 //   - weights.go: capacity estimates and weight steps
 //   - subset.go: shared tables, each with a subset of the replicas; ranking.go: which replica gets the next entry
 //   - binding.go: which proxy uses which table
-//   - drain.go: withdrawals and readmissions
-//   - sendwindow.go: bounds on unacknowledged entries and on messages to a proxy
+//   - drain.go: withdrawals and readmissions; withdrawalparts.go: the same for single proxies
+//   - sendwindow.go: bounds on unacknowledged entries and on messages to a proxy; messagepacing.go: the latter
+//   - partialdelivery.go: updates that go to some of their proxies now, and to the others later
+//   - channelprogress.go: which messages have left the channel, whoever has acknowledged them
+//   - power.go: powers with the same bits on every kind of machine
 //   - timers.go: the queue of deadlines
 //   - statemachine.go: transition tables; random.go: draws from the seed
 //   - view.go: a copy of the state for other goroutines
--- a/internal/benchmark/idle.go
+++ b/internal/benchmark/idle.go
@@ -83,7 +83,7 @@
 func idleSettings(members, shardsPerZone int, leaseDuration time.Duration) cluster.Settings {
 	settings := cluster.Settings{
 		Lease: lease.Config{
-			Duration:      model.Microseconds(leaseDuration / time.Microsecond),
+			Duration:      model.MicrosecondsOf(leaseDuration),
 			MaxClockDrift: model.Microseconds(leaseDuration / time.Microsecond / clockDriftDivisor),
 		},
 		Placement:     placement.Config{StabilizationPeriod: model.Second, MoveInterval: model.Second},
--- a/internal/cli/benchmark_takeover.go
+++ b/internal/cli/benchmark_takeover.go
@@ -28,7 +28,7 @@
 	if err != nil {
 		return err
 	}
-	leaseDuration := model.Microseconds(c.LeaseDuration / time.Microsecond)
+	leaseDuration := model.MicrosecondsOf(c.LeaseDuration)
 	var results []*benchmark.TakeoverResult
 	for _, inCluster := range c.clusterVariants() {
 		result, err := benchmark.Takeover(ctx, program, c.Proxies, c.Rounds, leaseDuration, inCluster, c.Seed, os.Stderr)
--- a/internal/config/values.go
+++ b/internal/config/values.go
@@ -165,7 +165,7 @@
 		b.reader.addError(position, name, "%s: expected a duration with a unit, such as \"500ms\" or \"2s\"", name)
 		return shortest
 	}
-	microseconds := model.Microseconds(duration / time.Microsecond)
+	microseconds := model.MicrosecondsOf(duration)
 	if microseconds < shortest || microseconds > longest {
 		b.reader.addError(position, name, "%s: %s is out of range, expected %s to %s",
 			name, duration, shortest.Duration(), longest.Duration())
--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -57,7 +57,7 @@
 func NewClock() func() model.Microseconds {
 	start := time.Now()
 	base := model.Microseconds(start.UnixMicro())
-	return func() model.Microseconds { return base + model.Microseconds(time.Since(start)/time.Microsecond) }
+	return func() model.Microseconds { return base + model.MicrosecondsOf(time.Since(start)) }
 }
 
 // New returns a controller that is not running yet. At most reportLimit load reports a second are delivered to the
--- a/internal/model/time.go
+++ b/internal/model/time.go
@@ -14,3 +14,6 @@
 
 // Duration converts a duration to the standard library's type.
 func (m Microseconds) Duration() time.Duration { return time.Duration(m) * time.Microsecond }
+
+// MicrosecondsOf converts a duration, rounding it towards zero.
+func MicrosecondsOf(d time.Duration) Microseconds { return Microseconds(d / time.Microsecond) }
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -38,8 +38,3 @@
 	Now             func() model.Microseconds
 	Log             zerolog.Logger
 }
-
-// microseconds converts a limit to the unit of Config.Now.
-func microseconds(d time.Duration) model.Microseconds {
-	return model.Microseconds(d / time.Microsecond)
-}
--- a/internal/platform/timeouts.go
+++ b/internal/platform/timeouts.go
@@ -51,7 +51,7 @@
 func (s *Server) connectionsNotJoinedInTime(now model.Microseconds) (connections []*connection) {
 	for element := s.awaitingJoin.Front(); element != nil; element = element.Next() {
 		c := element.Value.(*connection)
-		if now-c.openedAt < microseconds(s.config.Limits.GreetingTimeout) {
+		if now-c.openedAt < model.MicrosecondsOf(s.config.Limits.GreetingTimeout) {
 			break
 		}
 		connections = append(connections, c)
@@ -81,7 +81,7 @@
 
 // isSilent reports whether a stream's proxy counts as vanished; s.mu is held.
 func (s *Server) isSilent(stream *stream, now model.Microseconds) bool {
-	limit := microseconds(s.config.Limits.SilenceTimeout)
+	limit := model.MicrosecondsOf(s.config.Limits.SilenceTimeout)
 	silentFor := stream.conn.silentFor(now)
 	if stream.acks.overdueFor(now) > limit && silentFor > limit {
 		return true
@@ -92,7 +92,7 @@
 
 // shouldRetryAck reports whether a stream's acknowledgement is to be requested again; s.mu is held.
 func (s *Server) shouldRetryAck(stream *stream, now model.Microseconds) bool {
-	interval := microseconds(s.config.Limits.AckRetryInterval)
+	interval := model.MicrosecondsOf(s.config.Limits.AckRetryInterval)
 	if stream.subscriber == nil || now-stream.acks.retriedAt <= interval {
 		return false
 	}
--- a/internal/pubsub/silence.go
+++ b/internal/pubsub/silence.go
@@ -40,16 +40,16 @@
 // Limits.SilenceTimeout; s.mu is held. The time in which the instance itself did not run does not count: what has
 // arrived meanwhile is not read yet.
 func (s *Server) endSilentStreams(now model.Microseconds) {
-	if now-s.silenceCheckedAt < microseconds(silenceCheckInterval) {
+	if now-s.silenceCheckedAt < model.MicrosecondsOf(silenceCheckInterval) {
 		return
 	}
-	if now-s.silenceCheckedAt > 2*microseconds(silenceCheckInterval) {
+	if now-s.silenceCheckedAt > 2*model.MicrosecondsOf(silenceCheckInterval) {
 		s.resumedAt = now
 	}
 	s.silenceCheckedAt = now
 	timeout := s.config.Limits.SilenceTimeout
 	for _, conn := range s.streams {
-		if conn.Ended() || conn.silentFor(now, s.resumedAt) <= microseconds(timeout) {
+		if conn.Ended() || conn.silentFor(now, s.resumedAt) <= model.MicrosecondsOf(timeout) {
 			continue
 		}
 		s.stats.Silent++
@@ -69,8 +69,3 @@
 	lastReceivedAt := model.Microseconds(c.lastReceivedAt.Load())
 	return now - max(c.stream.silence.ackDueSince, lastReceivedAt, resumedAt)
 }
-
-// microseconds converts a limit to the unit of Config.Now.
-func microseconds(d time.Duration) model.Microseconds {
-	return model.Microseconds(d / time.Microsecond)
-}
--- a/internal/pubsub/silence_test.go
+++ b/internal/pubsub/silence_test.go
@@ -12,9 +12,9 @@
 func (h *testHarness) checkSilenceFor(span time.Duration) {
 	h.server.mu.Lock()
 	defer h.server.mu.Unlock()
-	end := h.server.silenceCheckedAt + microseconds(span)
+	end := h.server.silenceCheckedAt + model.MicrosecondsOf(span)
 	for h.server.silenceCheckedAt < end {
-		h.server.endSilentStreams(h.server.silenceCheckedAt + microseconds(silenceCheckInterval))
+		h.server.endSilentStreams(h.server.silenceCheckedAt + model.MicrosecondsOf(silenceCheckInterval))
 	}
 }
 
@@ -64,7 +64,7 @@
 	harness.publish(2, bindProxy(2))
 	suspended.receiveUntil(2)
 	harness.server.mu.Lock()
-	harness.server.endSilentStreams(harness.server.silenceCheckedAt + microseconds(5*DefaultLimits.SilenceTimeout))
+	harness.server.endSilentStreams(harness.server.silenceCheckedAt + model.MicrosecondsOf(5*DefaultLimits.SilenceTimeout))
 	harness.server.mu.Unlock()
 	if ended := harness.server.Stats().Silent; ended != 0 {
 		t.Errorf("%d streams have ended after the instance did not run", ended)
--- a/internal/standin/registry/query.go
+++ b/internal/standin/registry/query.go
@@ -70,7 +70,7 @@
 		return
 	}
 	wait := waitDuration(parameters)
-	q.timer = r.loop.After(model.Microseconds(wait/time.Microsecond), func() {
+	q.timer = r.loop.After(model.MicrosecondsOf(wait), func() {
 		r.blockedQueries = slices.DeleteFunc(r.blockedQueries, func(other *query) bool { return other == q })
 		r.respond(q)
 	})
