Check the shape of the replicated state when it changes, not for every message

Cause: compared the whole state with the member's settings in isExcluded, which IsLeaseHolder calls for every message to a proxy and every shard of a tick: an allocation for each shard and more, 10 a call with 6 shards. Change: the result is kept, and reckoned anew with another state or an announcement, which alone can change it.

--- a/internal/cluster/fault.go
+++ b/internal/cluster/fault.go
@@ -15,7 +15,7 @@
 	case member.HasOtherSettings():
 		return "span, drift, settle, pace, zones or parts differ from those that the group was begun with: " +
 			"make this member's file like the others'"
-	case member.hasMisshapenState():
+	case member.misshapen:
 		return "its copy of what the group agreed on was written with other settings by a former version: remove this " +
 			"member, move its state directory away and start it under a new name with join = true"
 	case member.IsSuperseded():
--- a/internal/cluster/member.go
+++ b/internal/cluster/member.go
@@ -30,6 +30,7 @@
 
 	settings       Settings
 	state          *State
+	misshapen      bool          // state is not the cluster's, see checkShape
 	leases         []lease.Lease // by shard
 	reportedEpochs []uint64      // by shard: the epoch that Tick reported last; 0: lease not held
 
@@ -72,7 +73,10 @@
 
 // Restore replaces the state by a snapshot. Held leases stay valid: they were granted to this incarnation, and entries
 // committed since do not revoke them.
-func (m *Member) Restore(state *State) { m.state = state }
+func (m *Member) Restore(state *State) {
+	m.state = state
+	m.checkShape()
+}
 
 // State returns the state after the newest applied entry. The caller must hold the lock that guards the member while it
 // reads the state.
@@ -89,6 +93,9 @@
 		m.heartbeat.appliedStamp = entry.At
 	}
 	responses := m.state.Apply(entry, term)
+	if announces {
+		m.checkShape()
+	}
 	switch command := entry.Command.(type) {
 	case RegisterMember:
 		m.memberSeenAt[command.Member] = now
@@ -151,7 +158,7 @@
 // its settings differ from the cluster's, so the same shard number may mean another shard, or its state is not the
 // cluster's.
 func (m *Member) isExcluded() bool {
-	return m.state.NewerSchemaVersion > 0 || m.HasOtherSettings() || m.hasMisshapenState()
+	return m.state.NewerSchemaVersion > 0 || m.HasOtherSettings() || m.misshapen
 }
 
 // HasOtherSettings reports whether the cluster was started with settings that differ from this member's.
--- a/internal/cluster/shape.go
+++ b/internal/cluster/shape.go
@@ -45,11 +45,11 @@
 	return sameZones && s.LeaseDuration == wanted.LeaseDuration && s.MaxClockDrift == wanted.MaxClockDrift
 }
 
-// hasMisshapenState reports whether this member's copy of the state is not the cluster's: it has the settings that the
-// cluster was begun with, and its state another shape. A former version wrote it as a snapshot while the member's
-// settings differed. A snapshot that the leader sends ends this.
-func (m *Member) hasMisshapenState() bool {
-	return m.state.Digest != 0 && !m.HasOtherSettings() && !m.state.hasShape(m.settings.shape())
+// checkShape checks whether this member's copy of the state is not the cluster's: it has the settings that the cluster
+// was begun with, and its state another shape. A former version wrote it as a snapshot while the member's settings
+// differed. A snapshot that the leader sends ends this. The result can change only with another state or its digest.
+func (m *Member) checkShape() {
+	m.misshapen = m.state.Digest != 0 && !m.HasOtherSettings() && !m.state.hasShape(m.settings.shape())
 }
 
 // mayWriteSnapshot reports whether this member's copy of the state is certain to be the cluster's. It is not if the
@@ -58,5 +58,5 @@
 	if m.HasOtherSettings() {
 		return m.state.ShapeAgreed || !m.state.hasShape(m.settings.shape())
 	}
-	return !m.hasMisshapenState()
+	return !m.misshapen
 }
--- a/internal/cluster/shape_test.go
+++ b/internal/cluster/shape_test.go
@@ -128,3 +128,14 @@
 		t.Error("a member with the cluster's settings withholds its snapshot")
 	}
 }
+
+// Guards against a check of the whole state in IsLeaseHolder, which is called for every message to a proxy.
+func TestIsLeaseHolderAllocatesNothing(t *testing.T) {
+	sim := newSimulation(t, 3)
+	sim.runFor(5 * model.Second)
+	sim.wantHeld(2, 2, 2)
+	member := sim.members[0]
+	if allocations := testing.AllocsPerRun(100, func() { member.IsLeaseHolder(0, sim.now) }); allocations > 0 {
+		t.Errorf("%v allocations a call, want none", allocations)
+	}
+}
